--- a/daemon/src/main/java/org/bulrushpier/daemon/Logging.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/Logging.java
@@ -1,5 +1,6 @@
 package org.bulrushpier.daemon;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -19,6 +20,9 @@
 
   private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level %msg%n%ex";
 
+  /** Lines that may wait to be written; a few seconds' worth. */
+  private static final int EVENT_QUEUE = 2_048;
+
   private Logging() {}
 
   /**
@@ -46,6 +50,37 @@
     context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.WARN);
   }
 
+  /** Sets up the log of a serving process: JSON lines that are dropped rather than waited for. */
+  public static void configureEvents() {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    JsonEncoder encoder = json(context);
+    encoder.setWithContext(false);
+    encoder.setWithSequenceNumber(false);
+    encoder.setWithNanoseconds(false);
+    encoder.setWithThreadName(false);
+    encoder.setWithMDC(false);
+    encoder.setWithMessage(true);
+    encoder.setWithFormattedMessage(false);
+    encoder.setWithArguments(false);
+    ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+    console.setContext(context);
+    console.setEncoder(encoder);
+    console.setImmediateFlush(true);
+    console.start();
+    AsyncAppender async = new AsyncAppender();
+    async.setContext(context);
+    async.setQueueSize(EVENT_QUEUE);
+    async.setDiscardingThreshold(0);
+    async.setNeverBlock(true);
+    async.addAppender(console);
+    async.start();
+    Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.INFO);
+    root.addAppender(async);
+    context.getLogger("org.eclipse.jetty").setLevel(Level.WARN);
+  }
+
   private static Encoder<ILoggingEvent> text(LoggerContext context) {
     PatternLayoutEncoder encoder = new PatternLayoutEncoder();
     encoder.setContext(context);
@@ -54,7 +89,7 @@
     return encoder;
   }
 
-  private static Encoder<ILoggingEvent> json(LoggerContext context) {
+  private static JsonEncoder json(LoggerContext context) {
     JsonEncoder encoder = new JsonEncoder();
     encoder.setContext(context);
     encoder.start();
--- a/daemon/src/main/java/org/bulrushpier/daemon/Main.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/Main.java
@@ -3,6 +3,7 @@
 import org.bulrushpier.daemon.command.CheckCommand;
 import org.bulrushpier.daemon.command.EntryCommand;
 import org.bulrushpier.daemon.command.Failures;
+import org.bulrushpier.daemon.command.GatewayCommand;
 import org.bulrushpier.daemon.command.SettingsCommand;
 import org.bulrushpier.daemon.command.StatusCommand;
 import org.bulrushpier.daemon.command.TimelineCommand;
@@ -21,6 +22,7 @@
     version = "bulrushpier 0.1.0",
     subcommands = {
       EntryCommand.class,
+      GatewayCommand.class,
       SettingsCommand.class,
       StatusCommand.class,
       TimelineCommand.class,
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/command/GatewayCommand.java
@@ -0,0 +1,48 @@
+package org.bulrushpier.daemon.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.bulrushpier.Finding;
+import org.bulrushpier.daemon.Logging;
+import org.bulrushpier.daemon.serve.Gateway;
+import org.bulrushpier.settings.GatewaySettings;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs an entry on the users' platform until it is told to end. Not thread-safe. */
+@Command(
+    name = "gateway",
+    description = "Runs an entry instance on the users' platform. SIGTERM drains it.",
+    mixinStandardHelpOptions = true)
+public final class GatewayCommand implements Callable<Integer> {
+
+  @Option(
+      names = "--settings",
+      required = true,
+      paramLabel = "FILE",
+      defaultValue = "${env:BULRUSHPIER_NODE_FILE}",
+      description = "The process's INI settings; by default the file that the platform names.")
+  private Path file;
+
+  /** Creates the command. */
+  public GatewayCommand() {}
+
+  @Override
+  public Integer call() throws IOException {
+    List<Finding> findings = new ArrayList<>();
+    String text = Files.readString(file);
+    GatewaySettings settings = GatewaySettings.parse(file.toString(), text, findings);
+    if (!findings.isEmpty()) {
+      findings.forEach(System.err::println);
+      return 1;
+    }
+    Logging.configureEvents();
+    Gateway gateway = Gateway.start(settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(gateway::shutDown, "shutdown"));
+    return EntryCommand.KEEPS_RUNNING;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -0,0 +1,341 @@
+package org.bulrushpier.daemon.serve;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.bulrushpier.Moment;
+import org.bulrushpier.Steady;
+import org.bulrushpier.adapter.CallFormat;
+import org.bulrushpier.adapter.SiteFormat;
+import org.bulrushpier.adapter.StoreFormat;
+import org.bulrushpier.adapter.StoreFormat.Event;
+import org.bulrushpier.adapter.StoreFormat.StoredValue;
+import org.bulrushpier.call.CallerRequest;
+import org.bulrushpier.daemon.net.CallerConnection;
+import org.bulrushpier.daemon.net.InboundRequest;
+import org.bulrushpier.daemon.net.NetLoop;
+import org.bulrushpier.replica.ReplicaTable.Change;
+import org.bulrushpier.settings.GatewaySettings;
+import org.bulrushpier.site.CallerLimits;
+import org.bulrushpier.site.Configuration;
+import org.eclipse.jetty.http.HttpFields;
+
+/**
+ * An entry instance on the users' platform.
+ *
+ * <pre>{@code
+ * Gateway gateway = Gateway.start(settings);
+ * gateway.shutDown();
+ * }</pre>
+ *
+ * <p>Keeps nothing beyond its process: the configuration, the replicas and the wanted weights are
+ * followed in the platform's store. Thread-safe; all state is guarded by the loop's lock.
+ */
+public final class Gateway {
+
+  /** How often running exchanges look at the clock, in milliseconds. */
+  private static final long TICK_MILLIS = 25;
+
+  /** The share of the revocation time after which the instance asks for no new connections. */
+  private static final double READY_SHARE = 0.6;
+
+  /** How long the balancer may go on sending connections after a failed readiness check. */
+  private static final long BALANCER_MILLIS = 2_500;
+
+  /** The share of the shutdown time after which requests still running are given up. */
+  private static final double SHUTDOWN_SHARE = 0.88;
+
+  private static final long SHUTDOWN_POLL_MILLIS = 50;
+  private static final String CONFIGURATION = "main";
+
+  private volatile GatewaySettings settings;
+  private final NetLoop loop = NetLoop.start();
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Tables tables;
+  private final Set<Exchange> exchanges = new LinkedHashSet<>();
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private boolean isLeaving;
+  private boolean wasReady;
+
+  private Gateway(GatewaySettings settings) {
+    this.settings = settings;
+    tables = new Tables(loop, () -> this.settings, registry);
+  }
+
+  /**
+   * Starts an instance.
+   *
+   * @param settings its settings
+   * @return the running instance
+   * @throws IOException if an address cannot be bound
+   */
+  public static Gateway start(GatewaySettings settings) throws IOException {
+    Gateway gateway = new Gateway(settings);
+    gateway.loop.listen(settings.readyAddress(), gateway.new Readiness());
+    gateway.loop.listen(settings.callerAddress(), gateway.new Callers());
+    gateway.loop.run(gateway::follow);
+    return gateway;
+  }
+
+  private void follow() {
+    tables.log().event("started", "instance", settings.name(), "domain", settings.domain());
+    watch(StoreFormat.CONFIGURATIONS, new Configurations());
+    watch(StoreFormat.REPLICAS, new Registry());
+    watch(StoreFormat.WEIGHTS, new Weights());
+    tick();
+  }
+
+  private void watch(String kind, StoreWatch.Listener listener) {
+    new StoreWatch(loop, tables.client(), () -> settings.platformAddress(), kind, listener)
+        .start();
+  }
+
+  private void tick() {
+    long now = Steady.millis();
+    for (Exchange exchange : exchanges.toArray(new Exchange[0])) {
+      exchange.tick(now);
+    }
+    exchanges.removeIf(Exchange::isDone);
+    tables.replicas().expire(now).forEach(id -> belief("replica-gone", id, "did not return"));
+    loop.after(TICK_MILLIS, this::tick);
+  }
+
+  private boolean isReady() {
+    long limit = (long) (settings.keyRevocationMillis() * READY_SHARE);
+    boolean isReady = !isLeaving && tables.configuration().ageMillis(Moment.now()) < limit;
+    if (isReady != wasReady) {
+      wasReady = isReady;
+      tables.log().event(isReady ? "ready" : "not-ready", "leaving", isLeaving);
+    }
+    return isReady;
+  }
+
+  private void belief(String event, String id, Object detail) {
+    tables.log().event(event, "id", id, "detail", detail);
+  }
+
+  /** Stops taking connections, lets running requests end, and stops. */
+  public void shutDown() {
+    long start = Steady.millis();
+    loop.run(
+        () -> {
+          isLeaving = true;
+          tables.log().event("leaving", "running", exchanges.size());
+        });
+    long limit = (long) (settings.shutdownMillis() * SHUTDOWN_SHARE);
+    while (Steady.millis() - start < limit) {
+      if (Steady.millis() - start > BALANCER_MILLIS && isQuiet()) {
+        break;
+      }
+      try {
+        TimeUnit.MILLISECONDS.sleep(SHUTDOWN_POLL_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        break;
+      }
+    }
+    loop.run(() -> tables.log().event("stopped", "running", exchanges.size()));
+  }
+
+  private boolean isQuiet() {
+    boolean[] isQuiet = new boolean[1];
+    loop.run(
+        () -> {
+          exchanges.removeIf(Exchange::isDone);
+          connections.forEach(CallerConnection::closeIfIdle);
+          isQuiet[0] = exchanges.isEmpty();
+        });
+    return isQuiet[0];
+  }
+
+  /** Answers the balancer's question. */
+  private final class Readiness implements CallerConnection.Handler {
+    @Override
+    public void requested(CallerConnection connection, InboundRequest request) {
+      connection.answer(isReady() ? 200 : 503, HttpFields.EMPTY, new byte[0]);
+    }
+  }
+
+  /** Takes callers' requests. */
+  private final class Callers implements CallerConnection.Handler {
+
+    @Override
+    public void requested(CallerConnection connection, InboundRequest inbound) {
+      connections.add(connection);
+      CallerRequest request;
+      try {
+        request = CallFormat.request(inbound.method(), inbound.target(), inbound.fields());
+      } catch (IllegalArgumentException e) {
+        tables.log().event("unreadable", "detail", e.getMessage());
+        connection.answer(400, CallFormat.own("", e.getMessage(), -1), new byte[0]);
+        return;
+      }
+      Exchange exchange = new Exchange(tables, connection, inbound, request);
+      connection.attach(exchange);
+      exchanges.add(exchange);
+      exchange.begin();
+    }
+
+    @Override
+    public void left(CallerConnection connection) {
+      connections.remove(connection);
+      if (connection.attachment() instanceof Exchange exchange) {
+        exchange.left();
+      }
+    }
+
+    @Override
+    public CallerConnection.Bounds bounds() {
+      CallerLimits limits =
+          tables
+              .configuration()
+              .configuration()
+              .map(Configuration::limits)
+              .orElse(CallerLimits.DEFAULT);
+      return new CallerConnection.Bounds(
+          limits.headerBytes(),
+          limits.bodyBytes(),
+          limits.headerTimeoutMillis(),
+          limits.idleTimeoutMillis());
+    }
+
+    @Override
+    public boolean isLeaving() {
+      return isLeaving;
+    }
+  }
+
+  /** Follows the operators' configuration. */
+  private final class Configurations implements StoreWatch.Listener {
+    private boolean isAway;
+
+    @Override
+    public void listed(List<StoredValue> values, Moment sent) {
+      back();
+      values.forEach(value -> accept(value, sent));
+    }
+
+    @Override
+    public void changed(List<Event> events, Moment sent) {
+      back();
+      events.forEach(event -> accept(event.value(), sent));
+      tables.configuration().confirm(sent);
+    }
+
+    private void back() {
+      if (isAway) {
+        isAway = false;
+        tables.log().event("store-back", "kind", StoreFormat.CONFIGURATIONS);
+      }
+    }
+
+    private void accept(StoredValue value, Moment sent) {
+      if (!value.name().equals(CONFIGURATION)) {
+        return;
+      }
+      try {
+        Configuration read =
+            SiteFormat.configuration(
+                value.content(), finding -> belief("configuration-finding", "main", finding));
+        if (tables.configuration().accept(read, sent)) {
+          belief("configuration", "version " + read.version(), "revision " + value.revision());
+        }
+      } catch (IllegalArgumentException e) {
+        belief("configuration-unreadable", "main", e.getMessage());
+      }
+    }
+
+    @Override
+    public void away(String detail) {
+      if (!isAway) {
+        isAway = true;
+        tables.log().event("store-away", "kind", StoreFormat.CONFIGURATIONS, "detail", detail);
+      }
+    }
+  }
+
+  /** Follows the replicas. */
+  private final class Registry implements StoreWatch.Listener {
+
+    @Override
+    public void listed(List<StoredValue> values, Moment sent) {
+      long now = Steady.millis();
+      tables.replicas().storeBack(now);
+      Set<String> ids = new HashSet<>();
+      for (StoredValue value : values) {
+        ids.add(value.name());
+        put(value);
+      }
+      tables
+          .replicas()
+          .retain(ids, now)
+          .forEach((id, change) -> belief("replica-" + change.name(), id, "not listed"));
+    }
+
+    @Override
+    public void changed(List<Event> events, Moment sent) {
+      long now = Steady.millis();
+      tables.replicas().storeBack(now);
+      for (Event event : events) {
+        if (event.isRemoved()) {
+          Change change = tables.replicas().remove(event.value().name(), now);
+          belief("replica-" + change.name(), event.value().name(), "removed");
+        } else {
+          put(event.value());
+        }
+      }
+    }
+
+    private void put(StoredValue value) {
+      try {
+        Change change = tables.replicas().put(SiteFormat.replica(value.name(), value.content()));
+        if (change != Change.NONE) {
+          belief("replica-" + change.name(), value.name(), "revision " + value.revision());
+        }
+      } catch (IllegalArgumentException e) {
+        belief("replica-unreadable", value.name(), e.getMessage());
+      }
+    }
+
+    @Override
+    public void away(String detail) {
+      tables.replicas().storeAway();
+    }
+  }
+
+  /** Follows the wanted weights. */
+  private final class Weights implements StoreWatch.Listener {
+
+    @Override
+    public void listed(List<StoredValue> values, Moment sent) {
+      values.forEach(this::accept);
+    }
+
+    @Override
+    public void changed(List<Event> events, Moment sent) {
+      events.forEach(event -> accept(event.value()));
+    }
+
+    private void accept(StoredValue value) {
+      try {
+        SiteFormat.WantedWeights named = SiteFormat.weights(value.content());
+        if (tables.weights().name(named.model(), named.version(), Steady.millis())) {
+          belief("weights-named", named.model(), named.version());
+        }
+      } catch (IllegalArgumentException e) {
+        belief("weights-unreadable", value.name(), e.getMessage());
+      }
+    }
+
+    @Override
+    public void away(String detail) {
+      tables.log().event("store-away", "kind", StoreFormat.WEIGHTS, "detail", detail);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
@@ -0,0 +1,115 @@
+package org.bulrushpier.daemon.serve;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.bulrushpier.daemon.net.ConnectionPool;
+import org.bulrushpier.daemon.net.NetLoop;
+import org.bulrushpier.limit.RetryAllowance;
+import org.bulrushpier.placing.EnginePlacement;
+import org.bulrushpier.placing.PlainPlacement;
+import org.bulrushpier.placing.ReadingRate;
+import org.bulrushpier.replica.ReplicaTable;
+import org.bulrushpier.rollout.WantedWeights;
+import org.bulrushpier.settings.GatewaySettings;
+import org.bulrushpier.site.ConfigurationBelief;
+
+/**
+ * What all exchanges of an instance share: beliefs, policies and connections.
+ *
+ * <p>Confined to the loop's lock.
+ */
+final class Tables {
+
+  /** Idle connections are kept this long at most, in milliseconds. */
+  private static final long IDLE_MILLIS = 10_000;
+
+  /** The instances among which the minimum of retries is split: twice those of a site today. */
+  private static final int RETRY_PARTS = 8;
+
+  private final NetLoop loop;
+  private final Supplier<GatewaySettings> settings;
+  private final MeterRegistry registry;
+  private final ConfigurationBelief configuration = new ConfigurationBelief();
+  private final ReplicaTable replicas = new ReplicaTable();
+  private final WantedWeights weights = new WantedWeights();
+  private final ReadingRate readingRate = new ReadingRate();
+  private final EnginePlacement engines;
+  private final PlainPlacement plain;
+  private final ConnectionPool upstreams;
+  private final ConnectionPool control;
+  private final StoreClient client;
+  private final EventLog log = new EventLog();
+  private final Map<String, RetryAllowance> allowances = new HashMap<>();
+
+  Tables(NetLoop loop, Supplier<GatewaySettings> settings, MeterRegistry registry) {
+    this.loop = loop;
+    this.settings = settings;
+    this.registry = registry;
+    engines = EnginePlacement.of(settings.get().domain(), readingRate);
+    plain = PlainPlacement.of(settings.get().domain());
+    upstreams = ConnectionPool.of(loop, IDLE_MILLIS);
+    control = ConnectionPool.of(loop, IDLE_MILLIS);
+    client = new StoreClient(loop, control);
+  }
+
+  NetLoop loop() {
+    return loop;
+  }
+
+  GatewaySettings settings() {
+    return settings.get();
+  }
+
+  MeterRegistry registry() {
+    return registry;
+  }
+
+  ConfigurationBelief configuration() {
+    return configuration;
+  }
+
+  ReplicaTable replicas() {
+    return replicas;
+  }
+
+  WantedWeights weights() {
+    return weights;
+  }
+
+  ReadingRate readingRate() {
+    return readingRate;
+  }
+
+  EnginePlacement engines() {
+    return engines;
+  }
+
+  PlainPlacement plain() {
+    return plain;
+  }
+
+  ConnectionPool upstreams() {
+    return upstreams;
+  }
+
+  StoreClient client() {
+    return client;
+  }
+
+  EventLog log() {
+    return log;
+  }
+
+  /** This instance's part of the retries at a service. */
+  RetryAllowance allowance(String service) {
+    return allowances.computeIfAbsent(
+        service,
+        name ->
+            RetryAllowance.of(
+                settings().retryRatio(),
+                settings().retryMinimum() / RETRY_PARTS,
+                settings().retryWindowMillis()));
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/bulrushpier/site/Configuration.java
@@ -0,0 +1,126 @@
+package org.bulrushpier.site;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the operators' configuration.
+ *
+ * <pre>{@code
+ * Optional<ConfiguredRoute> route = configuration.route("lima.example", "/notes/7");
+ * }</pre>
+ *
+ * <p>Immutable and thread-safe.
+ */
+public final class Configuration {
+
+  private final long version;
+  private final Map<String, List<ConfiguredRoute>> routesByHost = new HashMap<>();
+  private final Map<String, Service> services;
+  private final Map<String, KeyHolder> holders;
+  private final CallerLimits limits;
+
+  private Configuration(
+      long version,
+      List<ConfiguredRoute> routes,
+      Map<String, Service> services,
+      Map<String, KeyHolder> holders,
+      CallerLimits limits) {
+    this.version = version;
+    this.services = Map.copyOf(services);
+    this.holders = Map.copyOf(holders);
+    this.limits = limits;
+    for (ConfiguredRoute route : routes) {
+      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+    }
+    Comparator<ConfiguredRoute> longestFirst =
+        Comparator.comparingInt(route -> -route.pathPrefix().length());
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+  }
+
+  /**
+   * Creates a configuration.
+   *
+   * @param version its version; later ones are larger
+   * @param routes the routes
+   * @param services the services by name
+   * @param holders the customers by key
+   * @param limits what callers may send
+   * @return the configuration
+   */
+  public static Configuration of(
+      long version,
+      List<ConfiguredRoute> routes,
+      Map<String, Service> services,
+      Map<String, KeyHolder> holders,
+      CallerLimits limits) {
+    return new Configuration(version, routes, services, holders, limits);
+  }
+
+  /**
+   * Returns the version.
+   *
+   * @return a number that grows with each change
+   */
+  public long version() {
+    return version;
+  }
+
+  /**
+   * Finds the route of a call: the longest prefix among those of its host.
+   *
+   * @param host the host that the caller names
+   * @param path the path without its query
+   * @return the route, or empty
+   */
+  public Optional<ConfiguredRoute> route(String host, String path) {
+    for (ConfiguredRoute route : routesByHost.getOrDefault(host, List.of())) {
+      if (path.startsWith(route.pathPrefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Finds a service.
+   *
+   * @param name its name
+   * @return the service, or empty
+   */
+  public Optional<Service> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /**
+   * Returns all services.
+   *
+   * @return the services by name
+   */
+  public Map<String, Service> services() {
+    return services;
+  }
+
+  /**
+   * Finds the customer that holds a key.
+   *
+   * @param key the key
+   * @return the customer, or empty
+   */
+  public Optional<KeyHolder> holder(String key) {
+    return Optional.ofNullable(holders.get(key));
+  }
+
+  /**
+   * Returns the limits for callers.
+   *
+   * @return the limits
+   */
+  public CallerLimits limits() {
+    return limits;
+  }
+}
