Orders for new weights under a lease at the platform's store

Change: the holder of a lease object orders engines a few at a time, each order bound to the number accepted before.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -60,12 +60,14 @@
   private final Tables tables;
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final Set<CallerConnection> connections = new HashSet<>();
+  private final RolloutKeeper rollouts;
   private boolean isLeaving;
   private boolean wasReady;
 
   private Gateway(GatewaySettings settings) {
     this.settings = settings;
     tables = new Tables(loop, () -> this.settings, registry);
+    rollouts = new RolloutKeeper(tables);
   }
 
   /**
@@ -88,6 +90,7 @@
     watch(StoreFormat.CONFIGURATIONS, new Configurations());
     watch(StoreFormat.REPLICAS, new Registry());
     watch(StoreFormat.WEIGHTS, new Weights());
+    watch(StoreFormat.LEASES, rollouts);
     tick();
   }
 
@@ -103,6 +106,9 @@
     }
     exchanges.removeIf(Exchange::isDone);
     tables.replicas().expire(now).forEach(id -> belief("replica-gone", id, "did not return"));
+    if (!isLeaving) {
+      rollouts.tick();
+    }
     loop.after(TICK_MILLIS, this::tick);
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreClient.java
@@ -5,11 +5,13 @@
 import java.util.function.Consumer;
 import org.bulrushpier.Address;
 import org.bulrushpier.Moment;
+import org.bulrushpier.adapter.EngineFormat;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.daemon.net.AnswerHead;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.NetLoop;
 import org.bulrushpier.daemon.net.Outbound;
+import org.eclipse.jetty.http.HttpFields;
 
 /**
  * Small calls with a body that is read whole: to the platform's metadata store and to replicas' own
@@ -52,10 +54,32 @@
       byte[] body,
       long timeoutMillis,
       Consumer<Outcome> consumer) {
+    HttpFields fields = StoreFormat.fields(address.toString(), body.length);
+    send(address, method, target, fields, body, timeoutMillis, consumer);
+  }
+
+  /** Gives an order that only the expected replica takes; the consumer is called exactly once. */
+  void order(
+      Address address,
+      String replica,
+      String target,
+      byte[] body,
+      long timeoutMillis,
+      Consumer<Outcome> consumer) {
+    HttpFields fields = EngineFormat.fields(address.toString(), replica, body.length);
+    send(address, "POST", target, fields, body, timeoutMillis, consumer);
+  }
+
+  private void send(
+      Address address,
+      String method,
+      String target,
+      HttpFields fields,
+      byte[] body,
+      long timeoutMillis,
+      Consumer<Outcome> consumer) {
     Call call = new Call(consumer);
-    Outbound outbound =
-        Outbound.of(
-            method, target, StoreFormat.fields(address.toString(), body.length), body, call);
+    Outbound outbound = Outbound.of(method, target, fields, body, call);
     call.timer =
         loop.after(
             timeoutMillis,
