Older weights stay usable while a change goes on

Cause: all calls went to the first engine with new weights. Change: a preference that grows with the time since the version was named.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -18,6 +18,7 @@
 import org.bulrushpier.daemon.net.InboundRequest;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.Replica;
+import org.bulrushpier.rollout.WeightsWish;
 import org.bulrushpier.site.Configuration;
 import org.bulrushpier.site.ConfiguredRoute;
 import org.bulrushpier.site.KeyHolder;
@@ -150,13 +151,14 @@
 
   private Placement placeOnEngine(
       Service.Engines engines, PromptShape prompt, List<Replica> usable, long left, long now) {
-    int wanted =
-        usable.stream().mapToInt(replica -> replica.version(prompt.model())).max().orElse(0);
-    List<Replica> current =
-        usable.stream().filter(replica -> replica.version(prompt.model()) == wanted).toList();
+    WeightsWish wish =
+        WeightsWish.of(
+            tables.weights().wanted(prompt.model()),
+            now,
+            tables.settings().weightsChangeMillis());
     return tables
         .engines()
-        .choose(prompt, salt(wanted), engines, current, tried, left, now);
+        .choose(prompt, this::salt, engines, usable, wish, tried, left, now);
   }
 
   private String salt(int version) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
@@ -44,6 +44,12 @@
   /** How long an engine that changes is left alone before a sign of its end, in milliseconds. */
   private static final long CHANGE_MILLIS = 4_000;
 
+  /** How long a report may still show the state before an accepted order, in milliseconds. */
+  private static final long REPORT_LAG_MILLIS = 800;
+
+  /** The pause after a failed write of the lease, in milliseconds. */
+  private static final long WRITE_PAUSE_MILLIS = 400;
+
   private static final int CONFLICT = 409;
   private static final int ACCEPTED = 202;
   private static final int HOLDS_ALREADY = 200;
@@ -92,6 +98,8 @@
     private final Set<String> changing = new LinkedHashSet<>();
     private final Map<String, Long> lookAt = new HashMap<>();
     private final Set<String> asking = new HashSet<>();
+    private final Map<String, Long> acceptedAt = new HashMap<>();
+    private long writeAfter = Long.MIN_VALUE;
     private boolean isWriting;
     private boolean isRecordDue;
     private long deferUntil = -1;
@@ -136,7 +144,7 @@
         deferUntil = -1;
         return;
       }
-      if (isWriting) {
+      if (isWriting || now.steadyMillis() < writeAfter) {
         return;
       }
       if (!lease.isHeld()) {
@@ -243,12 +251,14 @@
         } else if (outcome.status() == CONFLICT) {
           StoredValue other = StoreFormat.object(outcome.body());
           lease.lost();
+          changing.clear();
           lease.observed(
               EngineFormat.lease(other.content()), other.revision(), Moment.now());
           tables
               .log()
               .event("lease-refused", "model", model, "revision", other.revision());
         } else {
+          writeAfter = Steady.millis() + WRITE_PAUSE_MILLIS;
           tables
               .log()
               .event(
@@ -315,7 +325,10 @@
         int serves = report.weightVersions().getOrDefault(model, 0);
         if (serves >= version && !report.isChanging()) {
           finished(engine, serves);
-        } else if (!report.isChanging() && lease.mayOrder(Moment.now())) {
+        } else if (!report.isChanging()
+            && Steady.millis() - acceptedAt.getOrDefault(id, Long.MIN_VALUE / 2)
+                > REPORT_LAG_MILLIS
+            && lease.mayOrder(Moment.now())) {
           give(engine, version, report.acceptedOrders());
         }
       } catch (IOException e) {
@@ -346,7 +359,9 @@
                 lookAt.put(id, Steady.millis() + LOOK_MILLIS);
                 if (outcome.status() == HOLDS_ALREADY) {
                   finished(engine, version);
-                } else if (outcome.status() != ACCEPTED) {
+                } else if (outcome.status() == ACCEPTED) {
+                  acceptedAt.put(id, Steady.millis());
+                } else {
                   tables
                       .log()
                       .event(
@@ -364,6 +379,7 @@
     private void finished(Replica engine, int version) {
       engine.sawVersion(model, version);
       engine.resume();
+      acceptedAt.remove(engine.entry().id());
       if (changing.remove(engine.entry().id())) {
         isRecordDue = true;
         tables
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntFunction;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.replica.Replica;
+import org.bulrushpier.rollout.WeightsWish;
 import org.bulrushpier.routing.Rendezvous;
 import org.bulrushpier.site.Service;
 
@@ -70,9 +72,10 @@
    * Chooses.
    *
    * @param prompt the generation
-   * @param salt the salt under which its parts are cached
+   * @param salts the salt under which an engine's parts are cached, by version
    * @param service the engines' service
-   * @param engines the replicas to choose from, all usable and of the wanted version
+   * @param engines the replicas to choose from, all usable
+   * @param weights the wanted weights
    * @param excluded ids of replicas that this call was sent to before
    * @param leftMillis how long the caller still waits
    * @param nowMillis the steady time
@@ -80,9 +83,10 @@
    */
   public Placement choose(
       PromptShape prompt,
-      String salt,
+      IntFunction<String> salts,
       Service.Engines service,
       List<Replica> engines,
+      WeightsWish weights,
       Set<String> excluded,
       long leftMillis,
       long nowMillis) {
@@ -95,7 +99,11 @@
       if (excluded.contains(engine.entry().id())) {
         continue;
       }
-      int cached = engine.parts().cachedTokens(salt, prompt.parts());
+      int version = engine.version(prompt.model());
+      if (!weights.allows(version)) {
+        continue;
+      }
+      int cached = engine.parts().cachedTokens(salts.apply(version), prompt.parts());
       double millis = predict(prompt, service, engine, cached, nowMillis);
       double tokens = 0;
       if (!engine.entry().domain().equals(domain)) {
@@ -104,7 +112,7 @@
       if (engine.entry().id().equals(home)) {
         tokens -= Math.min(HOME_TOKENS, prompt.inputTokens() - cached);
       }
-      double cost = millis + rate.millis(tokens);
+      double cost = millis + rate.millis(tokens) + weights.penaltyMillis(version);
       if (cost < bestCost) {
         best = engine;
         bestCost = cost;
