--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -387,6 +387,7 @@
     void cancel(String reason) {
       if (!isOver) {
         over();
+        mayHaveRun |= outbound.isSent();
         outbound.cancel();
       }
     }
