--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -154,7 +154,7 @@
     WeightsWish wish =
         WeightsWish.of(
             tables.weights().wanted(prompt.model()),
-            now,
+            Moment.now(),
             tables.settings().weightsChangeMillis());
     return tables
         .engines()
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -318,20 +318,25 @@
   /** Follows the wanted weights. */
   private final class Weights implements StoreWatch.Listener {
 
+    /** A call that ended well; what a later one shows was named after it was sent. */
+    private Moment proof;
+
     @Override
     public void listed(List<StoredValue> values, Moment sent) {
-      values.forEach(this::accept);
+      values.forEach(value -> accept(value, proof == null ? sent : proof));
+      proof = sent;
     }
 
     @Override
     public void changed(List<Event> events, Moment sent) {
-      events.forEach(event -> accept(event.value()));
+      events.forEach(event -> accept(event.value(), sent));
+      proof = sent;
     }
 
-    private void accept(StoredValue value) {
+    private void accept(StoredValue value, Moment since) {
       try {
         SiteFormat.WantedWeights named = SiteFormat.weights(value.content());
-        if (tables.weights().name(named.model(), named.version(), Steady.millis())) {
+        if (tables.weights().name(named.model(), named.version(), since)) {
           belief("weights-named", named.model(), named.version());
         }
       } catch (IllegalArgumentException e) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
@@ -3,11 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.bulrushpier.Moment;
 import org.bulrushpier.Steady;
@@ -39,7 +37,7 @@
   private static final long CALL_MILLIS = 700;
 
   /** The pause between two looks at an engine that is changing, in milliseconds. */
-  private static final long LOOK_MILLIS = 150;
+  private static final long LOOK_MILLIS = 100;
 
   /** How long an engine that changes is left alone before a sign of its end, in milliseconds. */
   private static final long CHANGE_MILLIS = 4_000;
@@ -50,6 +48,15 @@
   /** The pause after a failed write of the lease, in milliseconds. */
   private static final long WRITE_PAUSE_MILLIS = 400;
 
+  /** How long running requests may end before an engine is ordered, in milliseconds. */
+  private static final long DRAIN_MILLIS = 600;
+
+  /** How long an engine that does not answer holds up others, in milliseconds. */
+  private static final long SILENCE_MILLIS = 1_500;
+
+  /** How long such an engine is passed over, in milliseconds. */
+  private static final long SKIP_MILLIS = 1_500;
+
   private static final int CONFLICT = 409;
   private static final int ACCEPTED = 202;
   private static final int HOLDS_ALREADY = 200;
@@ -91,14 +98,26 @@
     }
   }
 
+  /** An engine that is about to change. */
+  private static final class Change {
+    private final long sinceMillis = Steady.millis();
+    private long answeredMillis = sinceMillis;
+    private long lookAtMillis;
+    private long acceptedMillis = Long.MIN_VALUE / 2;
+    private boolean isAsking;
+
+    void looked() {
+      isAsking = false;
+      lookAtMillis = Steady.millis() + LOOK_MILLIS;
+    }
+  }
+
   /** The change of one model's weights. */
   private final class Rollout {
     private final String model;
     private final OrderLease lease;
-    private final Set<String> changing = new LinkedHashSet<>();
-    private final Map<String, Long> lookAt = new HashMap<>();
-    private final Set<String> asking = new HashSet<>();
-    private final Map<String, Long> acceptedAt = new HashMap<>();
+    private final Map<String, Change> changing = new LinkedHashMap<>();
+    private final Map<String, Long> skipUntil = new HashMap<>();
     private long writeAfter = Long.MIN_VALUE;
     private boolean isWriting;
     private boolean isRecordDue;
@@ -210,7 +229,7 @@
       }
       LeaseRecord record =
           new LeaseRecord(
-              tables.settings().name(), version, List.copyOf(changing), changed, isReleased);
+              tables.settings().name(), version, List.copyOf(changing.keySet()), changed, isReleased);
       long revision = lease.revision();
       byte[] body = StoreFormat.write(model, revision, EngineFormat.lease(record));
       String target =
@@ -276,32 +295,46 @@
     }
 
     private void order(WantedWeights.Named wanted, List<Replica> engines) {
-      List<Replica> next = RolloutPlan.next(model, wanted.version(), engines, changing);
-      for (Replica engine : next) {
-        changing.add(engine.entry().id());
-        engine.pause(Steady.millis() + CHANGE_MILLIS);
+      long now = Steady.millis();
+      List<Replica> able =
+          engines.stream()
+              .filter(engine -> now >= skipUntil.getOrDefault(engine.entry().id(), 0L))
+              .toList();
+      for (Replica engine :
+          RolloutPlan.next(model, wanted.version(), able, changing.keySet())) {
+        changing.put(engine.entry().id(), new Change());
+        engine.pause(now + CHANGE_MILLIS);
         isRecordDue = true;
-        ask(engine, wanted.version());
       }
     }
 
-    /** Looks at the engines that are changing, those first whose look is due. */
+    /** Looks at the engines that are changing. */
     private void look(WantedWeights.Named wanted) {
       long now = Steady.millis();
-      for (String id : List.copyOf(changing)) {
+      for (Map.Entry<String, Change> entry : List.copyOf(changing.entrySet())) {
+        String id = entry.getKey();
+        Change change = entry.getValue();
         Replica engine = tables.replicas().find(id);
         if (engine == null || engine.isLeaving()) {
-          changing.remove(id);
-          isRecordDue = true;
-        } else if (!asking.contains(id) && now >= lookAt.getOrDefault(id, 0L)) {
-          ask(engine, wanted.version());
+          drop(id);
+        } else if (now - change.answeredMillis > SILENCE_MILLIS) {
+          drop(id);
+          engine.resume();
+          skipUntil.put(id, now + SKIP_MILLIS);
+          tables.log().event("engine-silent", "replica", id, "model", model);
+        } else if (!change.isAsking && now >= change.lookAtMillis) {
+          ask(engine, change, wanted.version());
         }
       }
     }
 
-    private void ask(Replica engine, int version) {
-      String id = engine.entry().id();
-      asking.add(id);
+    private void drop(String id) {
+      changing.remove(id);
+      isRecordDue = true;
+    }
+
+    private void ask(Replica engine, Change change, int version) {
+      change.isAsking = true;
       tables
           .client()
           .call(
@@ -310,36 +343,40 @@
               EngineFormat.REPORT,
               new byte[0],
               CALL_MILLIS,
-              outcome -> reported(engine, version, outcome));
+              outcome -> reported(engine, change, version, outcome));
     }
 
-    private void reported(Replica engine, int version, StoreClient.Outcome outcome) {
-      String id = engine.entry().id();
-      asking.remove(id);
-      lookAt.put(id, Steady.millis() + LOOK_MILLIS);
+    private void reported(
+        Replica engine, Change change, int version, StoreClient.Outcome outcome) {
+      change.looked();
       if (!outcome.isOk()) {
         return;
       }
       try {
         EngineFormat.Report report = EngineFormat.report(outcome.body());
+        long now = Steady.millis();
+        change.answeredMillis = now;
         int serves = report.weightVersions().getOrDefault(model, 0);
+        boolean isIdle = report.running() + report.waiting() == 0;
         if (serves >= version && !report.isChanging()) {
           finished(engine, serves);
         } else if (!report.isChanging()
-            && Steady.millis() - acceptedAt.getOrDefault(id, Long.MIN_VALUE / 2)
-                > REPORT_LAG_MILLIS
+            && now - change.acceptedMillis > REPORT_LAG_MILLIS
+            && (isIdle || now - change.sinceMillis >= DRAIN_MILLIS)
             && lease.mayOrder(Moment.now())) {
-          give(engine, version, report.acceptedOrders());
+          give(engine, change, version, report.acceptedOrders());
         }
       } catch (IOException e) {
-        tables.log().event("report-unreadable", "replica", id, "detail", e.getMessage());
+        tables
+            .log()
+            .event("report-unreadable", "replica", engine.entry().id(), "detail", e.getMessage());
       }
     }
 
-    private void give(Replica engine, int version, long acceptedOrders) {
+    private void give(Replica engine, Change change, int version, long acceptedOrders) {
       String id = engine.entry().id();
       long fence = lease.fence();
-      asking.add(id);
+      change.isAsking = true;
       byte[] body =
           EngineFormat.changeWeights(
               model, version, tables.settings().name(), fence, acceptedOrders);
@@ -354,34 +391,34 @@
               EngineFormat.ORDER,
               body,
               CALL_MILLIS,
-              outcome -> {
-                asking.remove(id);
-                lookAt.put(id, Steady.millis() + LOOK_MILLIS);
-                if (outcome.status() == HOLDS_ALREADY) {
-                  finished(engine, version);
-                } else if (outcome.status() == ACCEPTED) {
-                  acceptedAt.put(id, Steady.millis());
-                } else {
-                  tables
-                      .log()
-                      .event(
-                          "order-unaccepted",
-                          "replica",
-                          id,
-                          "status",
-                          outcome.status(),
-                          "detail",
-                          outcome.detail());
-                }
-              });
+              outcome -> given(engine, change, version, outcome));
+    }
+
+    private void given(
+        Replica engine, Change change, int version, StoreClient.Outcome outcome) {
+      change.looked();
+      switch (outcome.status()) {
+        case HOLDS_ALREADY -> finished(engine, version);
+        case ACCEPTED -> change.acceptedMillis = Steady.millis();
+        default ->
+            tables
+                .log()
+                .event(
+                    "order-unaccepted",
+                    "replica",
+                    engine.entry().id(),
+                    "status",
+                    outcome.status(),
+                    "detail",
+                    outcome.detail());
+      }
     }
 
     private void finished(Replica engine, int version) {
       engine.sawVersion(model, version);
       engine.resume();
-      acceptedAt.remove(engine.entry().id());
-      if (changing.remove(engine.entry().id())) {
-        isRecordDue = true;
+      if (changing.containsKey(engine.entry().id())) {
+        drop(engine.entry().id());
         tables
             .log()
             .event("weights-changed", "replica", engine.entry().id(), "version", version);
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -100,11 +100,11 @@
         continue;
       }
       int version = engine.version(prompt.model());
-      if (!weights.allows(version)) {
-        continue;
-      }
       int cached = engine.parts().cachedTokens(salts.apply(version), prompt.parts());
       double millis = predict(prompt, service, engine, cached, nowMillis);
+      if (!weights.allows(version, millis)) {
+        continue;
+      }
       double tokens = 0;
       if (!engine.entry().domain().equals(domain)) {
         tokens += CROSSING_TOKENS;
--- a/library/src/main/java/org/bulrushpier/rollout/OrderLease.java
+++ b/library/src/main/java/org/bulrushpier/rollout/OrderLease.java
@@ -22,13 +22,13 @@
 public final class OrderLease {
 
   /** How long orders may be given after a write was sent, in milliseconds. */
-  public static final long TENURE_MILLIS = 1_200;
+  public static final long TENURE_MILLIS = 800;
 
   /** After this long a holder with work writes again, in milliseconds: two tries in a tenure. */
-  public static final long RENEW_MILLIS = 500;
+  public static final long RENEW_MILLIS = 300;
 
   /** Allowance for the way of an order and of a change notice, in milliseconds. */
-  private static final long MARGIN_MILLIS = 250;
+  private static final long MARGIN_MILLIS = 200;
 
   private final String self;
   private final long turnMillis;
--- a/library/src/main/java/org/bulrushpier/rollout/WantedWeights.java
+++ b/library/src/main/java/org/bulrushpier/rollout/WantedWeights.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import org.bulrushpier.Moment;
 
 /**
  * The newest version of each model's weights that operators have named.
@@ -17,24 +18,24 @@
    * A named version. Immutable and thread-safe.
    *
    * @param version the version
-   * @param sinceMillis the steady time at which this instance learned of it
+   * @param since a moment at which it was not yet known to be named
    */
-  public record Named(int version, long sinceMillis) {}
+  public record Named(int version, Moment since) {}
 
   /**
    * Takes note of a version.
    *
    * @param model the model
    * @param version the version
-   * @param nowMillis the steady time
+   * @param since a moment at which it was not yet known to be named
    * @return true if it is newer than the one known
    */
-  public boolean name(String model, int version, long nowMillis) {
+  public boolean name(String model, int version, Moment since) {
     Named known = named.get(model);
     if (known != null && known.version() >= version) {
       return false;
     }
-    named.put(model, new Named(version, nowMillis));
+    named.put(model, new Named(version, since));
     return true;
   }
 
@@ -45,7 +46,7 @@
    * @return the version, 0 if none was named
    */
   public Named wanted(String model) {
-    return named.getOrDefault(model, new Named(0, 0));
+    return named.getOrDefault(model, new Named(0, new Moment(0, 0)));
   }
 
   /**
--- a/library/src/main/java/org/bulrushpier/rollout/WeightsWish.java
+++ b/library/src/main/java/org/bulrushpier/rollout/WeightsWish.java
@@ -1,5 +1,7 @@
 package org.bulrushpier.rollout;
 
+import org.bulrushpier.Moment;
+
 /**
  * How much a generation prefers engines with new weights while a change goes on.
  *
@@ -37,23 +39,24 @@
    * Creates the wish of a moment.
    *
    * @param named the newest version named
-   * @param nowMillis the steady time
+   * @param now the moment
    * @param changeMillis how soon a version is to be in place
    * @return the wish
    */
-  public static WeightsWish of(WantedWeights.Named named, long nowMillis, long changeMillis) {
+  public static WeightsWish of(WantedWeights.Named named, Moment now, long changeMillis) {
     return new WeightsWish(
-        named.version(), nowMillis - named.sinceMillis(), changeMillis - MARGIN_MILLIS);
+        named.version(), named.since().ageMillis(now), changeMillis - MARGIN_MILLIS);
   }
 
   /**
    * Tells whether an engine may be used.
    *
    * @param served the version it serves
-   * @return true if it is new enough
+   * @param expectedMillis when the generation is predicted to begin there
+   * @return true if it is new enough, or will begin in time
    */
-  public boolean allows(int served) {
-    return served >= version || ageMillis < limitMillis;
+  public boolean allows(int served, double expectedMillis) {
+    return served >= version || ageMillis + 2 * expectedMillis < limitMillis;
   }
 
   /**
