Shared prompt parts are saved in cache stores and fetched back

Change: holders' events are followed; shared parts that no store has are saved, whole ones are fetched; placing weighs transfers and reading again.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -16,6 +16,7 @@
 import org.bulrushpier.daemon.net.AnswerHead;
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.InboundRequest;
+import org.bulrushpier.placing.CachePlanner;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.WeightsWish;
@@ -158,7 +159,7 @@
             tables.settings().weightsChangeMillis());
     return tables
         .engines()
-        .choose(prompt, this::salt, engines, usable, wish, tried, left, now);
+        .choose(prompt, this::salt, engines, usable, wish, tables.stores(), tried, left, now);
   }
 
   private String salt(int version) {
@@ -328,13 +329,23 @@
       Optional<PromptShape> prompt = request.prompt();
       int version = prompt.map(p -> replica.version(p.model())).orElse(0);
       String salt = prompt.isPresent() ? salt(version) : "";
-      int uncached = prompt.map(p -> p.inputTokens() - placed.cachedTokens()).orElse(0);
+      int uncached = placed.cache().readTokens();
       long now = Steady.millis();
       long overdue = now + 2 * Math.max(placed.expectedMillis(), route.goalMillis());
-      work = new Replica.Work(uncached, prompt.map(p -> p.totalTokens()).orElse(0), now, overdue);
+      work =
+          new Replica.Work(
+              uncached,
+              prompt.map(p -> p.totalTokens()).orElse(0),
+              placed.cache().transferMillis(),
+              now,
+              overdue);
       unreadAtSend = replica.unreadTokens() + uncached;
       replica.begin(request.id(), work);
       replica.breaker().begin(now);
+      List<String> saves =
+          prompt.isPresent()
+              ? CachePlanner.saves(prompt.get(), salt, replica, tables.stores(), now)
+              : List.of();
       prompt.ifPresent(p -> replica.parts().add(salt, p.parts(), memoryTokens()));
       HttpFields fields =
           CallFormat.forwarded(
@@ -347,8 +358,8 @@
                   prompt.isPresent() ? Math.clamp(holder.rank(route), 0, 9) : -1,
                   salt,
                   version,
-                  "",
-                  ""),
+                  placed.cache().sources(),
+                  saves),
               inbound.method(),
               inbound.body().length);
       tables
@@ -363,6 +374,8 @@
               replica.entry().id(),
               "uncached",
               uncached,
+              "fetched",
+              placed.cache().fetchedTokens(),
               "expectedMs",
               placed.expectedMillis(),
               "own",
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -61,6 +61,7 @@
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final Set<CallerConnection> connections = new HashSet<>();
   private final RolloutKeeper rollouts;
+  private final CacheEvents cacheEvents;
   private boolean isLeaving;
   private boolean wasReady;
 
@@ -68,6 +69,7 @@
     this.settings = settings;
     tables = new Tables(loop, () -> this.settings, registry);
     rollouts = new RolloutKeeper(tables);
+    cacheEvents = new CacheEvents(tables);
   }
 
   /**
@@ -106,6 +108,7 @@
     }
     exchanges.removeIf(Exchange::isDone);
     tables.replicas().expire(now).forEach(id -> belief("replica-gone", id, "did not return"));
+    cacheEvents.tick();
     if (!isLeaving) {
       rollouts.tick();
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreClient.java
@@ -58,6 +58,16 @@
     send(address, method, target, fields, body, timeoutMillis, consumer);
   }
 
+  /** Reads from an address with fields of the caller's choice. */
+  void call(
+      Address address,
+      String target,
+      HttpFields fields,
+      long timeoutMillis,
+      Consumer<Outcome> consumer) {
+    send(address, "GET", target, fields, new byte[0], timeoutMillis, consumer);
+  }
+
   /** Gives an order that only the expected replica takes; the consumer is called exactly once. */
   void order(
       Address address,
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
@@ -1,12 +1,15 @@
 package org.bulrushpier.daemon.serve;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Supplier;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.NetLoop;
 import org.bulrushpier.limit.RetryAllowance;
+import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.placing.EnginePlacement;
 import org.bulrushpier.placing.PlainPlacement;
 import org.bulrushpier.placing.ReadingRate;
@@ -14,6 +17,7 @@
 import org.bulrushpier.rollout.WantedWeights;
 import org.bulrushpier.settings.GatewaySettings;
 import org.bulrushpier.site.ConfigurationBelief;
+import org.bulrushpier.site.Service;
 
 /**
  * What all exchanges of an instance share: beliefs, policies and connections.
@@ -40,6 +44,7 @@
   private final ConnectionPool upstreams;
   private final ConnectionPool control;
   private final StoreClient client;
+  private final Map<String, CacheStoreState> stores = new LinkedHashMap<>();
   private final EventLog log = new EventLog();
   private final Map<String, RetryAllowance> allowances = new HashMap<>();
 
@@ -102,6 +107,15 @@
     return log;
   }
 
+  /** The state of a store of cache parts; a store at another address is another one. */
+  CacheStoreState store(Service.CacheStore store) {
+    return stores.computeIfAbsent(store.name(), name -> new CacheStoreState(store));
+  }
+
+  Collection<CacheStoreState> stores() {
+    return stores.values();
+  }
+
   /** This instance's part of the retries at a service. */
   RetryAllowance allowance(String service) {
     return allowances.computeIfAbsent(
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -1,5 +1,6 @@
 package org.bulrushpier.placing;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Set;
 import java.util.function.IntFunction;
@@ -34,6 +35,9 @@
   /** How many other calls' tokens stand for one told call whose size is not known. */
   private static final int OTHER_TOKENS = 1_500;
 
+  /** What reading a shared token again costs besides its time, in milliseconds of waiting. */
+  private static final double SHARED_READ_MILLIS = 0.06;
+
   /** The wait for memory to come free, in milliseconds: about one generation. */
   private static final double MEMORY_WAIT_MILLIS = 400;
 
@@ -76,6 +80,7 @@
    * @param service the engines' service
    * @param engines the replicas to choose from, all usable
    * @param weights the wanted weights
+   * @param stores the stores of cache parts
    * @param excluded ids of replicas that this call was sent to before
    * @param leftMillis how long the caller still waits
    * @param nowMillis the steady time
@@ -87,11 +92,12 @@
       Service.Engines service,
       List<Replica> engines,
       WeightsWish weights,
+      Collection<CacheStoreState> stores,
       Set<String> excluded,
       long leftMillis,
       long nowMillis) {
     Replica best = null;
-    int bestCached = 0;
+    CachePlan bestPlan = CachePlan.EMPTY;
     double bestCost = Double.MAX_VALUE;
     double bestMillis = Double.MAX_VALUE;
     String home = home(prompt, engines);
@@ -100,8 +106,9 @@
         continue;
       }
       int version = engine.version(prompt.model());
-      int cached = engine.parts().cachedTokens(salts.apply(version), prompt.parts());
-      double millis = predict(prompt, service, engine, cached, nowMillis);
+      CachePlan plan =
+          CachePlanner.plan(prompt, salts.apply(version), service, engine, stores, nowMillis);
+      double millis = predict(prompt, service, engine, plan, nowMillis);
       if (!weights.allows(version, millis)) {
         continue;
       }
@@ -110,14 +117,18 @@
         tokens += CROSSING_TOKENS;
       }
       if (engine.entry().id().equals(home)) {
-        tokens -= Math.min(HOME_TOKENS, prompt.inputTokens() - cached);
+        tokens -= Math.min(HOME_TOKENS, plan.readTokens());
       }
-      double cost = millis + rate.millis(tokens) + weights.penaltyMillis(version);
+      double cost =
+          millis
+              + rate.millis(tokens)
+              + plan.sharedReadTokens() * SHARED_READ_MILLIS
+              + weights.penaltyMillis(version);
       if (cost < bestCost) {
         best = engine;
         bestCost = cost;
         bestMillis = millis;
-        bestCached = cached;
+        bestPlan = plan;
       }
     }
     if (best == null) {
@@ -127,18 +138,19 @@
       long wait = Math.max(MIN_RETRY_MILLIS, (long) (bestMillis - leftMillis));
       return new Placement.Refuse("predicted first token after " + (long) bestMillis + " ms", wait);
     }
-    return new Placement.Send(best, bestCached, (long) Math.ceil(bestMillis));
+    return new Placement.Send(best, bestPlan, (long) Math.ceil(bestMillis));
   }
 
   private double predict(
-      PromptShape prompt, Service.Engines service, Replica engine, int cached, long nowMillis) {
+      PromptShape prompt, Service.Engines service, Replica engine, CachePlan plan, long nowMillis) {
     int others = engine.others(nowMillis, TOLD_LIFE_MILLIS);
     int othersWaiting = Math.min(others, engine.told().waiting());
     double unread =
         engine.unreadTokens()
             + (double) othersWaiting * OTHER_TOKENS
-            + Math.max(0, prompt.inputTokens() - cached);
-    double millis = rate.millis(unread) + (engine.own() + others) * RUNNING_MILLIS;
+            + plan.readTokens();
+    double millis =
+        rate.millis(unread) + plan.transferMillis() + engine.transferMillis() + (engine.own() + others) * RUNNING_MILLIS;
     double held = engine.heldTokens() + (double) others * OTHER_TOKENS + prompt.totalTokens();
     double room = service.memoryTokens() * MEMORY_SHARE;
     if (held > room) {
--- a/library/src/main/java/org/bulrushpier/placing/PartMemory.java
+++ b/library/src/main/java/org/bulrushpier/placing/PartMemory.java
@@ -1,9 +1,11 @@
 package org.bulrushpier.placing;
 
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.bulrushpier.call.PromptPart;
 
 /**
@@ -14,6 +16,9 @@
  */
 public final class PartMemory {
 
+  /** Memory is kept in blocks; the last block of a part may not count. */
+  private static final int BLOCK_TOKENS = 16;
+
   private final LinkedHashMap<Key, Integer> tokens = new LinkedHashMap<>(64, 0.75f, true);
   private long total;
 
@@ -21,25 +26,40 @@
   private record Key(String salt, String id) {}
 
   /**
-   * Returns how many of a prompt's tokens need not be read.
+   * Tells whether a part is kept whole.
    *
    * @param salt the salt
-   * @param parts the prompt's parts in order
-   * @return tokens of the leading parts that are there
+   * @param part the part
+   * @return true if at most part of a block is missing
    */
-  public int cachedTokens(String salt, List<PromptPart> parts) {
-    int cached = 0;
-    for (PromptPart part : parts) {
-      Integer kept = tokens.get(new Key(salt, part.id()));
-      if (kept == null) {
-        break;
-      }
-      cached += Math.min(kept, part.tokens());
-      if (kept < part.tokens()) {
-        break;
+  public boolean hasWhole(String salt, PromptPart part) {
+    Integer kept = tokens.get(new Key(salt, part.id()));
+    return kept != null && kept > part.tokens() - BLOCK_TOKENS;
+  }
+
+  /**
+   * Returns how many tokens are kept.
+   *
+   * @return tokens of all parts
+   */
+  public long total() {
+    return total;
+  }
+
+  /**
+   * Returns the parts under some salts.
+   *
+   * @param salts which salts
+   * @return ids by salt
+   */
+  public Map<String, List<String>> idsBySalt(Predicate<String> salts) {
+    Map<String, List<String>> ids = new LinkedHashMap<>();
+    for (Key key : tokens.keySet()) {
+      if (salts.test(key.salt())) {
+        ids.computeIfAbsent(key.salt(), salt -> new ArrayList<>()).add(key.id());
       }
     }
-    return cached;
+    return ids;
   }
 
   /**
--- a/library/src/main/java/org/bulrushpier/placing/Placement.java
+++ b/library/src/main/java/org/bulrushpier/placing/Placement.java
@@ -13,10 +13,10 @@
    * The call goes to a replica at once.
    *
    * @param replica the replica
-   * @param cachedTokens prompt tokens believed to be cached there
+   * @param cache how the prompt's parts get into the replica's memory
    * @param expectedMillis the estimated time to the answer or to the first token
    */
-  record Send(Replica replica, int cachedTokens, long expectedMillis) implements Placement {}
+  record Send(Replica replica, CachePlan cache, long expectedMillis) implements Placement {}
 
   /**
    * The call cannot be served in time and is turned away unrun.
--- a/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
@@ -70,6 +70,6 @@
     }
     return best == null
         ? new Placement.Refuse("no replica can take it", RETRY_MILLIS)
-        : new Placement.Send(best, 0, 0);
+        : new Placement.Send(best, CachePlan.EMPTY, 0);
   }
 }
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -41,6 +41,7 @@
   public static final class Work {
     private final int uncachedTokens;
     private final int totalTokens;
+    private final double transferMillis;
     private final long sentMillis;
     private final long overdueMillis;
     private boolean isStarted;
@@ -50,10 +51,17 @@
      *
      * @param uncachedTokens prompt tokens that the replica is expected to read
      * @param totalTokens tokens that it occupies when it ends
+     * @param transferMillis how long its parts are fetched
      * @param sentMillis the steady time of the send
      * @param overdueMillis the steady time after which its answer is late
      */
-    public Work(int uncachedTokens, int totalTokens, long sentMillis, long overdueMillis) {
+    public Work(
+        int uncachedTokens,
+        int totalTokens,
+        double transferMillis,
+        long sentMillis,
+        long overdueMillis) {
+      this.transferMillis = transferMillis;
       this.uncachedTokens = uncachedTokens;
       this.totalTokens = totalTokens;
       this.sentMillis = sentMillis;
@@ -311,6 +319,21 @@
     return tokens;
   }
 
+  /**
+   * Returns how long own calls' parts are still fetched, one after the other.
+   *
+   * @return milliseconds
+   */
+  public double transferMillis() {
+    double millis = 0;
+    for (Work call : work.values()) {
+      if (!call.isStarted) {
+        millis += call.transferMillis;
+      }
+    }
+    return millis;
+  }
+
   /**
    * Returns the memory that own calls occupy when they end.
    *
--- a/library/src/main/java/org/bulrushpier/site/Service.java
+++ b/library/src/main/java/org/bulrushpier/site/Service.java
@@ -32,9 +32,20 @@
    * @param maxConnections connections that each engine accepts from all callers
    * @param slots requests that an engine runs at once
    * @param memoryTokens tokens that fit into an engine's cache memory
+   * @param bytesPerToken the cache memory of a token
+   * @param linkMbps an engine's link for cache parts, in Mbit/s
+   * @param isManaged whether cache parts may be fetched and saved one by one
    * @param models the models that its engines serve
    */
-  record Engines(String name, int maxConnections, int slots, long memoryTokens, List<String> models)
+  record Engines(
+      String name,
+      int maxConnections,
+      int slots,
+      long memoryTokens,
+      long bytesPerToken,
+      double linkMbps,
+      boolean isManaged,
+      List<String> models)
       implements Service {
     /** Copies the list. */
     public Engines {
@@ -49,9 +60,17 @@
    * @param address its address
    * @param domain its failure domain
    * @param memoryTokens tokens that fit
+   * @param linkMbps its link, in Mbit/s
+   * @param firstMillis what each transfer waits besides, in milliseconds
    * @param isManaged whether it keeps every part until told to free it
    */
   record CacheStore(
-      String name, Address address, String domain, long memoryTokens, boolean isManaged)
+      String name,
+      Address address,
+      String domain,
+      long memoryTokens,
+      double linkMbps,
+      double firstMillis,
+      boolean isManaged)
       implements Service {}
 }
