Versions learned from answers and reports; parts of older weights freed

Change: versions are taken from answers, an engine that refuses is asked, the last holder of the lease frees older parts after 3 s, three tenths of the engines change at a time.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -17,6 +17,7 @@
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.InboundRequest;
 import org.bulrushpier.placing.CachePlanner;
+import org.bulrushpier.placing.CacheSalt;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.WeightsWish;
@@ -163,7 +164,8 @@
   }
 
   private String salt(int version) {
-    return holder.isIsolated() ? "v" + version + "/" + holder.customer() : "v" + version;
+    String model = request.prompt().map(PromptShape::model).orElse("");
+    return new CacheSalt(model, version, holder.isIsolated() ? holder.customer() : "").text();
   }
 
   private void send(Placement.Send placed, long left) {
@@ -429,6 +431,13 @@
       work.started();
       long now = Steady.millis();
       answer.load().ifPresent(load -> replica.told(load, now));
+      int version = CallFormat.weightVersion(read.fields());
+      if (version > 0 && request.prompt().isPresent()) {
+        String model = request.prompt().get().model();
+        if (version > replica.version(model)) {
+          replica.sawVersion(model, version);
+        }
+      }
       if (answer.isRefusal() || !answer.isSuccess()) {
         return;
       }
@@ -509,8 +518,12 @@
               answer.status());
       tried.add(replica.entry().id());
       String now = CallFormat.replica(head.fields());
-      if (answer.isMisdirected() && !now.isEmpty() && !now.equals(replica.entry().id())) {
-        replica.leave("its address belongs to " + now);
+      if (answer.isMisdirected()) {
+        if (!now.isEmpty() && !now.equals(replica.entry().id())) {
+          replica.leave("its address belongs to " + now);
+        } else {
+          tables.doubtful(replica);
+        }
       }
       again("the upstream refused it");
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
@@ -9,10 +9,12 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.bulrushpier.Moment;
 import org.bulrushpier.Steady;
+import org.bulrushpier.adapter.CacheFormat;
 import org.bulrushpier.adapter.EngineFormat;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
 import org.bulrushpier.adapter.StoreFormat.StoredValue;
+import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.LeaseRecord;
 import org.bulrushpier.rollout.OrderLease;
@@ -48,6 +50,12 @@
   /** The pause after a failed write of the lease, in milliseconds. */
   private static final long WRITE_PAUSE_MILLIS = 400;
 
+  /** How long an engine whose weights are in doubt is left alone, in milliseconds. */
+  private static final long VERIFY_PAUSE_MILLIS = 60;
+
+  /** After this long no call for older weights can still fetch parts, in milliseconds. */
+  private static final long FREE_MILLIS = 3_000;
+
   /** How long running requests may end before an engine is ordered, in milliseconds. */
   private static final long DRAIN_MILLIS = 600;
 
@@ -70,6 +78,10 @@
 
   /** A version was named or the time went on. */
   void tick() {
+    for (Replica replica : List.copyOf(tables.doubtful())) {
+      verify(replica);
+    }
+    tables.doubtful().clear();
     for (String model : tables.weights().models()) {
       rollouts.computeIfAbsent(model, Rollout::new).step();
     }
@@ -98,6 +110,78 @@
     }
   }
 
+  /** Asks an engine which weights it serves, as its refusal of a call contradicts the belief. */
+  private void verify(Replica replica) {
+    replica.pause(Steady.millis() + VERIFY_PAUSE_MILLIS);
+    tables
+        .client()
+        .call(
+            replica.entry().address(),
+            "GET",
+            EngineFormat.REPORT,
+            new byte[0],
+            CALL_MILLIS,
+            outcome -> verified(replica, outcome));
+  }
+
+  private void verified(Replica replica, StoreClient.Outcome outcome) {
+    if (!outcome.isOk()) {
+      return;
+    }
+    try {
+      EngineFormat.report(outcome.body())
+          .weightVersions()
+          .forEach(
+              (model, version) -> {
+                if (version != replica.version(model)) {
+                  replica.sawVersion(model, version);
+                  tables
+                      .log()
+                      .event(
+                          "weights-seen", "replica", replica.entry().id(), "version", version);
+                }
+              });
+    } catch (IOException e) {
+      tables
+          .log()
+          .event("report-unreadable", "replica", replica.entry().id(), "detail", e.getMessage());
+    }
+  }
+
+  /** Frees the parts of older weights once no call can use them any more. */
+  private void freeOlder(String model, int version) {
+    for (CacheStoreState state : tables.stores()) {
+      List<CacheFormat.Kept> parts = new ArrayList<>();
+      state
+          .olderParts(model, version)
+          .forEach(
+              (salt, ids) -> ids.forEach(id -> parts.add(new CacheFormat.Kept(salt, id, 0))));
+      if (parts.isEmpty() || !state.store().isManaged() || !state.isLive(Steady.millis())) {
+        continue;
+      }
+      String name = state.store().name();
+      tables
+          .client()
+          .call(
+              state.store().address(),
+              "POST",
+              CacheFormat.FREE,
+              CacheFormat.free(parts),
+              CALL_MILLIS,
+              outcome ->
+                  tables
+                      .log()
+                      .event(
+                          "parts-freed",
+                          "store",
+                          name,
+                          "parts",
+                          parts.size(),
+                          "status",
+                          outcome.status()));
+    }
+  }
+
   /** An engine that is about to change. */
   private static final class Change {
     private final long sinceMillis = Steady.millis();
@@ -119,6 +203,7 @@
     private final Map<String, Change> changing = new LinkedHashMap<>();
     private final Map<String, Long> skipUntil = new HashMap<>();
     private long writeAfter = Long.MIN_VALUE;
+    private long freeAtMillis = -1;
     private boolean isWriting;
     private boolean isRecordDue;
     private long deferUntil = -1;
@@ -161,8 +246,13 @@
       if (!isBehind && changing.isEmpty()) {
         release(wanted.version(), engines);
         deferUntil = -1;
+        if (freeAtMillis > 0 && now.steadyMillis() >= freeAtMillis) {
+          freeAtMillis = -1;
+          freeOlder(model, wanted.version());
+        }
         return;
       }
+      freeAtMillis = -1;
       if (isWriting || now.steadyMillis() < writeAfter) {
         return;
       }
@@ -214,6 +304,7 @@
 
     private void release(int version, List<Replica> engines) {
       if (lease.isHeld() && !isWriting) {
+        freeAtMillis = Steady.millis() + FREE_MILLIS;
         write(version, engines, true);
       }
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
@@ -3,8 +3,10 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.NetLoop;
@@ -13,6 +15,7 @@
 import org.bulrushpier.placing.EnginePlacement;
 import org.bulrushpier.placing.PlainPlacement;
 import org.bulrushpier.placing.ReadingRate;
+import org.bulrushpier.replica.Replica;
 import org.bulrushpier.replica.ReplicaTable;
 import org.bulrushpier.rollout.WantedWeights;
 import org.bulrushpier.settings.GatewaySettings;
@@ -45,6 +48,7 @@
   private final ConnectionPool control;
   private final StoreClient client;
   private final Map<String, CacheStoreState> stores = new LinkedHashMap<>();
+  private final Set<Replica> doubtful = new HashSet<>();
   private final EventLog log = new EventLog();
   private final Map<String, RetryAllowance> allowances = new HashMap<>();
 
@@ -116,6 +120,16 @@
     return stores.values();
   }
 
+  /** Takes note that a replica's weights are not those believed. */
+  void doubtful(Replica replica) {
+    doubtful.add(replica);
+  }
+
+  /** The replicas whose weights are to be asked for. */
+  Set<Replica> doubtful() {
+    return doubtful;
+  }
+
   /** This instance's part of the retries at a service. */
   RetryAllowance allowance(String service) {
     return allowances.computeIfAbsent(
--- a/library/src/main/java/org/bulrushpier/placing/CacheStoreState.java
+++ b/library/src/main/java/org/bulrushpier/placing/CacheStoreState.java
@@ -144,12 +144,13 @@
   }
 
   /**
-   * Returns the parts under other salts than those in use.
+   * Returns the parts made under older weights.
    *
-   * @param salts the salts in use
-   * @return salts with the ids of their parts
+   * @param model the model
+   * @param version the version in use
+   * @return ids by salt
    */
-  public Map<String, List<String>> partsBeyond(java.util.function.Predicate<String> salts) {
-    return parts.idsBySalt(salt -> !salts.test(salt));
+  public Map<String, List<String>> olderParts(String model, int version) {
+    return parts.idsBySalt(salt -> CacheSalt.isOlder(salt, model, version));
   }
 }
--- a/library/src/main/java/org/bulrushpier/rollout/RolloutPlan.java
+++ b/library/src/main/java/org/bulrushpier/rollout/RolloutPlan.java
@@ -18,7 +18,7 @@
 public final class RolloutPlan {
 
   /** The share of a model's engines that change at a time. */
-  private static final double WIDTH_SHARE = 0.4;
+  private static final double WIDTH_SHARE = 0.3;
 
   private static final int MIN_WIDTH = 3;
 
