--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ReplicaConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ReplicaConnection.java
@@ -159,7 +159,7 @@
   }
 
   private void fail(String detail) {
-    Outbound failed = request;
+    final Outbound failed = request;
     request = null;
     isDue = false;
     group.closed(this);
@@ -176,7 +176,7 @@
       }
       return;
     }
-    Outbound done = request;
+    final Outbound done = request;
     request = null;
     isDue = false;
     boolean isReusable = isPersistent && isHttp11 && !parser.isAtEOF();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
@@ -16,8 +16,8 @@
 /**
  * Follows what engines and stores keep, by calls that wait until something changes.
  *
- * <p>Where events were lost, an engine's parts are forgotten and a store's are listed anew. Confined
- * to the loop's lock.
+ * <p>Where events were lost, an engine's parts are forgotten and a store's are listed anew.
+ * Confined to the loop's lock.
  */
 final class CacheEvents {
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -76,8 +76,7 @@
   private boolean isStreaming;
   private long lastProgressMillis;
 
-  Exchange(
-      Tables tables, CallerConnection caller, InboundRequest inbound, CallerRequest request) {
+  Exchange(Tables tables, CallerConnection caller, InboundRequest inbound, CallerRequest request) {
     this.tables = tables;
     this.caller = caller;
     this.inbound = inbound;
@@ -330,7 +329,7 @@
     void start(long left, long maxIdle) {
       Optional<PromptShape> prompt = request.prompt();
       int version = prompt.map(p -> replica.version(p.model())).orElse(0);
-      String salt = prompt.isPresent() ? salt(version) : "";
+      final String salt = prompt.isPresent() ? salt(version) : "";
       int uncached = placed.cache().readTokens();
       long now = Steady.millis();
       long overdue = now + 2 * Math.max(placed.expectedMillis(), route.goalMillis());
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -97,8 +97,7 @@
   }
 
   private void watch(String kind, StoreWatch.Listener listener) {
-    new StoreWatch(loop, tables.client(), () -> settings.platformAddress(), kind, listener)
-        .start();
+    new StoreWatch(loop, tables.client(), () -> settings.platformAddress(), kind, listener).start();
   }
 
   private void tick() {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
@@ -106,7 +106,7 @@
     if (!isRemoved && !value.name().isEmpty()) {
       rollouts
           .computeIfAbsent(value.name(), Rollout::new)
-          .observed(EngineFormat.lease(value.content()), value.revision());
+          .observed(EngineFormat.leaseRecord(value.content()), value.revision());
     }
   }
 
@@ -137,8 +137,7 @@
                   replica.sawVersion(model, version);
                   tables
                       .log()
-                      .event(
-                          "weights-seen", "replica", replica.entry().id(), "version", version);
+                      .event("weights-seen", "replica", replica.entry().id(), "version", version);
                 }
               });
     } catch (IOException e) {
@@ -154,8 +153,7 @@
       List<CacheFormat.Kept> parts = new ArrayList<>();
       state
           .olderParts(model, version)
-          .forEach(
-              (salt, ids) -> ids.forEach(id -> parts.add(new CacheFormat.Kept(salt, id, 0))));
+          .forEach((salt, ids) -> ids.forEach(id -> parts.add(new CacheFormat.Kept(salt, id, 0))));
       if (parts.isEmpty() || !state.store().isManaged() || !state.isLive(Steady.millis())) {
         continue;
       }
@@ -211,8 +209,7 @@
 
     Rollout(String model) {
       this.model = model;
-      this.lease =
-          OrderLease.of(tables.settings().name(), tables.settings().orderLeaseMillis());
+      this.lease = OrderLease.of(tables.settings().name(), tables.settings().orderLeaseMillis());
     }
 
     void observed(LeaseRecord record, long revision) {
@@ -320,7 +317,11 @@
       }
       LeaseRecord record =
           new LeaseRecord(
-              tables.settings().name(), version, List.copyOf(changing.keySet()), changed, isReleased);
+              tables.settings().name(),
+              version,
+              List.copyOf(changing.keySet()),
+              changed,
+              isReleased);
       long revision = lease.revision();
       byte[] body = StoreFormat.write(model, revision, EngineFormat.lease(record));
       String target =
@@ -343,8 +344,7 @@
       try {
         if (outcome.isOk()) {
           boolean isTaken = !lease.isHeld() && !record.isReleased();
-          lease.wrote(
-              record, StoreFormat.object(outcome.body()).revision(), outcome.sent());
+          lease.wrote(record, StoreFormat.value(outcome.body()).revision(), outcome.sent());
           if (isTaken) {
             tables
                 .log()
@@ -359,14 +359,11 @@
           }
           step();
         } else if (outcome.status() == CONFLICT) {
-          StoredValue other = StoreFormat.object(outcome.body());
+          StoredValue other = StoreFormat.value(outcome.body());
           lease.lost();
           changing.clear();
-          lease.observed(
-              EngineFormat.lease(other.content()), other.revision(), Moment.now());
-          tables
-              .log()
-              .event("lease-refused", "model", model, "revision", other.revision());
+          lease.observed(EngineFormat.leaseRecord(other.content()), other.revision(), Moment.now());
+          tables.log().event("lease-refused", "model", model, "revision", other.revision());
         } else {
           writeAfter = Steady.millis() + WRITE_PAUSE_MILLIS;
           tables
@@ -391,8 +388,7 @@
           engines.stream()
               .filter(engine -> now >= skipUntil.getOrDefault(engine.entry().id(), 0L))
               .toList();
-      for (Replica engine :
-          RolloutPlan.next(model, wanted.version(), able, changing.keySet())) {
+      for (Replica engine : RolloutPlan.next(model, wanted.version(), able, changing.keySet())) {
         changing.put(engine.entry().id(), new Change());
         engine.pause(now + CHANGE_MILLIS);
         isRecordDue = true;
@@ -437,8 +433,7 @@
               outcome -> reported(engine, change, version, outcome));
     }
 
-    private void reported(
-        Replica engine, Change change, int version, StoreClient.Outcome outcome) {
+    private void reported(Replica engine, Change change, int version, StoreClient.Outcome outcome) {
       change.looked();
       if (!outcome.isOk()) {
         return;
@@ -485,8 +480,7 @@
               outcome -> given(engine, change, version, outcome));
     }
 
-    private void given(
-        Replica engine, Change change, int version, StoreClient.Outcome outcome) {
+    private void given(Replica engine, Change change, int version, StoreClient.Outcome outcome) {
       change.looked();
       switch (outcome.status()) {
         case HOLDS_ALREADY -> finished(engine, version);
@@ -510,9 +504,7 @@
       engine.resume();
       if (changing.containsKey(engine.entry().id())) {
         drop(engine.entry().id());
-        tables
-            .log()
-            .event("weights-changed", "replica", engine.entry().id(), "version", version);
+        tables.log().event("weights-changed", "replica", engine.entry().id(), "version", version);
       }
     }
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -13,7 +13,8 @@
 import org.bulrushpier.daemon.net.NetLoop;
 
 /**
- * Follows one kind of objects in the platform's store: a list first, then watches from its revision.
+ * Follows one kind of objects in the platform's store: a list first, then watches from its
+ * revision.
  *
  * <p>A watch that is still waiting proves nothing, so watches are short; the listener is told of
  * each call that ended well together with the moment it was sent. After a failure the next call is
@@ -59,11 +60,7 @@
   private boolean isProbing = true;
 
   StoreWatch(
-      NetLoop loop,
-      StoreClient client,
-      Supplier<Address> address,
-      String kind,
-      Listener listener) {
+      NetLoop loop, StoreClient client, Supplier<Address> address, String kind, Listener listener) {
     this.loop = loop;
     this.client = client;
     this.address = address;
--- a/library/src/main/java/org/bulrushpier/placing/CachePlanner.java
+++ b/library/src/main/java/org/bulrushpier/placing/CachePlanner.java
@@ -138,8 +138,7 @@
     for (int i = 0; i < parts.size(); i++) {
       PromptPart part = parts.get(i);
       boolean isOwn = i == parts.size() - 1;
-      boolean isSaved =
-          stores.stream().anyMatch(store -> store.hasOrSaves(salt, part, nowMillis));
+      boolean isSaved = stores.stream().anyMatch(store -> store.hasOrSaves(salt, part, nowMillis));
       Optional<CacheStoreState> target =
           isOwn || isSaved || part.tokens() < MIN_TOKENS
               ? Optional.empty()
--- a/library/src/main/java/org/bulrushpier/placing/CacheSalt.java
+++ b/library/src/main/java/org/bulrushpier/placing/CacheSalt.java
@@ -1,11 +1,11 @@
 package org.bulrushpier.placing;
 
 /**
- * The text under which an engine or store keeps cache parts, so that parts are found only by prompts
- * that may use them.
+ * The text under which an engine or store keeps cache parts, so that parts are found only by
+ * prompts that may use them.
  *
- * <p>Parts made under different weights never share a salt, nor do those of an isolated customer and
- * anybody else's. Immutable and thread-safe.
+ * <p>Parts made under different weights never share a salt, nor do those of an isolated customer
+ * and anybody else's. Immutable and thread-safe.
  *
  * @param model the model
  * @param version the version of its weights
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -146,11 +146,12 @@
     int others = engine.others(nowMillis, TOLD_LIFE_MILLIS);
     int othersWaiting = Math.min(others, engine.told().waiting());
     double unread =
-        engine.unreadTokens()
-            + (double) othersWaiting * OTHER_TOKENS
-            + plan.readTokens();
+        engine.unreadTokens() + (double) othersWaiting * OTHER_TOKENS + plan.readTokens();
     double millis =
-        rate.millis(unread) + plan.transferMillis() + engine.transferMillis() + (engine.own() + others) * RUNNING_MILLIS;
+        rate.millis(unread)
+            + plan.transferMillis()
+            + engine.transferMillis()
+            + (engine.own() + others) * RUNNING_MILLIS;
     double held = engine.heldTokens() + (double) others * OTHER_TOKENS + prompt.totalTokens();
     double room = service.memoryTokens() * MEMORY_SHARE;
     if (held > room) {
