Silent and failing replicas are left sooner; settings reloaded; tests of the decisions

Cause: calls to replicas that had gone dark or failed in part waited for their deadline; SIGHUP ended the process. Change: repeatable calls and streams that may be resumed go on elsewhere after a silence, within the retry allowance; failure shares and unreachable engines weigh in placing; HUP and silent changes of the file reload. Events out of order end a stream.

--- a/daemon/src/main/java/org/bulrushpier/daemon/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/command/GatewayCommand.java
@@ -1,7 +1,6 @@
 package org.bulrushpier.daemon.command;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -9,9 +8,11 @@
 import org.bulrushpier.Finding;
 import org.bulrushpier.daemon.Logging;
 import org.bulrushpier.daemon.serve.Gateway;
+import org.bulrushpier.daemon.serve.SettingsFile;
 import org.bulrushpier.settings.GatewaySettings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import sun.misc.Signal;
 
 /** Runs an entry on the users' platform until it is told to end. Not thread-safe. */
 @Command(
@@ -34,14 +35,16 @@
   @Override
   public Integer call() throws IOException {
     List<Finding> findings = new ArrayList<>();
-    String text = Files.readString(file);
-    GatewaySettings settings = GatewaySettings.parse(file.toString(), text, findings);
+    SettingsFile settingsFile = SettingsFile.open(file);
+    GatewaySettings settings = settingsFile.parse(findings);
     if (!findings.isEmpty()) {
       findings.forEach(System.err::println);
       return 1;
     }
     Logging.configureEvents();
     Gateway gateway = Gateway.start(settings);
+    gateway.follow(settingsFile);
+    Signal.handle(new Signal("HUP"), signal -> gateway.reload(settingsFile));
     Runtime.getRuntime().addShutdownHook(new Thread(gateway::shutDown, "shutdown"));
     return EntryCommand.KEEPS_RUNNING;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -28,6 +28,7 @@
   private boolean closesAfterWrite;
   private boolean isClosed;
   private boolean isReading;
+  private final Callback readable = new Readable();
 
   HttpConnection(NetLoop loop, EndPoint endPoint) {
     super(endPoint, loop.threads());
@@ -40,11 +41,6 @@
   /** The peer ended its side, or the connection failed; {@code isReset} tells which. */
   abstract void ended(boolean isReset, String detail);
 
-  @Override
-  public InvocationType getInvocationType() {
-    return InvocationType.NON_BLOCKING;
-  }
-
   @Override
   public void onOpen() {
     super.onOpen();
@@ -56,14 +52,9 @@
     loop.run(this::read);
   }
 
-  @Override
-  protected void onFillInterestedFailed(Throwable cause) {
-    loop.run(() -> finish(true, String.valueOf(cause)));
-  }
-
   private void interest() {
     if (!isClosed && getEndPoint().isOpen()) {
-      fillInterested();
+      getEndPoint().fillInterested(readable);
     }
   }
 
@@ -159,6 +150,24 @@
     return isClosed;
   }
 
+  /** What follows when bytes can be read. */
+  private final class Readable implements Callback {
+    @Override
+    public void succeeded() {
+      onFillable();
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      loop.run(() -> finish(true, String.valueOf(cause)));
+    }
+
+    @Override
+    public InvocationType getInvocationType() {
+      return InvocationType.NON_BLOCKING;
+    }
+  }
+
   /** What follows a write. */
   private final class Written implements Callback {
     @Override
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
@@ -89,6 +89,7 @@
   private record EngineSink(Replica engine) implements Sink {
     @Override
     public boolean reported(CacheFormat.Report report) {
+      engine.reachable();
       if (report.isLost()) {
         engine.parts().clear();
       }
@@ -100,7 +101,9 @@
     public void listed(CacheFormat.Report report) {}
 
     @Override
-    public void silent() {}
+    public void silent() {
+      engine.unreachable();
+    }
   }
 
   /** Keeps a store's parts. */
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -55,7 +55,11 @@
   /** Calls to replicas that did not take the connection, after which the call is given up. */
   private static final int MAX_CONNECT_FAILURES = 3;
 
-  private static final int FIRST_REDIRECT = 300;
+  /** A stream that may be resumed goes on elsewhere after this silence, in milliseconds. */
+  private static final long STREAM_SILENCE_MILLIS = 1_200;
+
+  /** No call is repeated for silence sooner, in milliseconds. */
+  private static final long MIN_PATIENCE_MILLIS = 250;
 
   private final Tables tables;
   private final CallerConnection caller;
@@ -181,7 +185,31 @@
     }
     if (nowMillis >= deadlineMillis) {
       timedOut();
+    } else if (attempt != null && isSilent(nowMillis) && canRepeat()) {
+      Attempt silent = attempt;
+      silent.silent(nowMillis);
+      place();
+    }
+  }
+
+  /** Tells whether the present attempt has been silent for so long that another one pays. */
+  private boolean isSilent(long nowMillis) {
+    if (!route.isRepeatable()) {
+      return false;
+    }
+    if (attempt.work.isStarted()) {
+      return isStreaming && nowMillis - lastProgressMillis > STREAM_SILENCE_MILLIS;
     }
+    long patience =
+        Math.max(
+            MIN_PATIENCE_MILLIS, 2 * Math.max(attempt.placed.expectedMillis(), route.goalMillis()));
+    return nowMillis - attempt.work.sentMillis() > patience;
+  }
+
+  private boolean canRepeat() {
+    return sends < route.maxSends()
+        && leftMillis() > MIN_LEFT_MILLIS
+        && tables.allowance(service).tryRepeat(Steady.millis());
   }
 
   private void timedOut() {
@@ -294,12 +322,7 @@
 
   /** Sends the call once more if that is allowed, and otherwise gives the final answer. */
   private void again(String reason) {
-    boolean isAllowed =
-        sends < route.maxSends()
-            && leftMillis() > MIN_LEFT_MILLIS
-            && (!mayHaveRun || route.isRepeatable())
-            && tables.allowance(service).tryRepeat(Steady.millis());
-    if (isAllowed) {
+    if ((!mayHaveRun || route.isRepeatable()) && canRepeat()) {
       place();
     } else {
       giveUp(reason);
@@ -400,12 +423,34 @@
 
     void cancel(String reason) {
       if (!isOver) {
+        long now = Steady.millis();
+        if (outbound.isSent() && !work.isStarted() && work.isOverdue(now)) {
+          replica.breaker().failed(now);
+          tables
+              .log()
+              .event(
+                  "upstream-silent",
+                  "request",
+                  request.id(),
+                  "replica",
+                  replica.entry().id(),
+                  "forMs",
+                  now - work.sentMillis(),
+                  "cancelledBy",
+                  reason);
+        }
         over();
         mayHaveRun |= outbound.isSent();
         outbound.cancel();
       }
     }
 
+    /** Gives a silent replica up. */
+    void silent(long nowMillis) {
+      tried.add(replica.entry().id());
+      cancel("silence");
+    }
+
     private void over() {
       isOver = true;
       replica.end(request.id());
@@ -458,6 +503,9 @@
 
     @Override
     public void body(ByteBuffer bytes) {
+      if (isOver) {
+        return;
+      }
       if (isStreaming && answer.isSuccess()) {
         splitter.feed(bytes, this::event);
       } else {
@@ -469,6 +517,17 @@
 
     private void event(byte[] bytes, long id) {
       lastProgressMillis = Steady.millis();
+      if (id >= 0 && lastEvent >= 0 && id != lastEvent + 1) {
+        tables
+            .log()
+            .event("event-out-of-order", "request", request.id(), "event", id, "after", lastEvent);
+        Attempt broken = attempt;
+        if (broken != null) {
+          broken.cancel("event out of order");
+        }
+        giveUp("an event of the stream is missing");
+        return;
+      }
       if (id >= 0) {
         lastEvent = id;
       }
@@ -481,6 +540,8 @@
         return;
       }
       over();
+      replica.outcome(
+          answer.isRefusal() || answer.isServerError() || !answer.isSigned(), Steady.millis());
       if (answer.isRefusal()) {
         refused();
       } else if (answer.isSuccess() && isStreaming) {
@@ -498,12 +559,6 @@
       }
     }
 
-    private boolean canRepeat() {
-      return sends < route.maxSends()
-          && leftMillis() > MIN_LEFT_MILLIS
-          && tables.allowance(service).tryRepeat(Steady.millis());
-    }
-
     private void refused() {
       tables
           .log()
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -50,6 +50,9 @@
   /** The share of the shutdown time after which requests still running are given up. */
   private static final double SHUTDOWN_SHARE = 0.88;
 
+  /** How often the settings file is looked at, in milliseconds. */
+  private static final long SETTINGS_MILLIS = 2_000;
+
   private static final long SHUTDOWN_POLL_MILLIS = 50;
   private static final String CONFIGURATION = "main";
 
@@ -96,6 +99,36 @@
     tick();
   }
 
+  /**
+   * Looks at the settings file now and then; it may change without a signal.
+   *
+   * @param file the file
+   */
+  public void follow(SettingsFile file) {
+    loop.after(
+        SETTINGS_MILLIS,
+        () -> {
+          reload(file);
+          follow(file);
+        });
+  }
+
+  /**
+   * Reads the settings file again. Addresses that the instance listens on stay as they are.
+   *
+   * @param file the file
+   */
+  public void reload(SettingsFile file) {
+    loop.run(
+        () -> {
+          GatewaySettings newer = file.reread();
+          if (newer != null) {
+            settings = newer;
+            tables.log().event("reloaded", "platform", newer.platformAddress());
+          }
+        });
+  }
+
   private void watch(String kind, StoreWatch.Listener listener) {
     new StoreWatch(loop, tables.client(), () -> settings.platformAddress(), kind, listener).start();
   }
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -44,6 +44,15 @@
   /** What each call late at a replica adds, in milliseconds, as it may not answer at all. */
   private static final double OVERDUE_MILLIS = 700;
 
+  /** A share of failures that is no sign of a faulty engine. */
+  private static final double USUAL_FAILURES = 0.1;
+
+  /** What an engine that fails every call costs, in milliseconds. */
+  private static final double FAILURE_MILLIS = 3_000;
+
+  /** What an engine costs that does not answer even calls without work, in milliseconds. */
+  private static final double UNREACHABLE_MILLIS = 2_000;
+
   /** Decode slows down with each running call, in milliseconds to the first token. */
   private static final double RUNNING_MILLIS = 0.6;
 
@@ -161,7 +170,11 @@
     if (service.slots() > 0 && calls >= service.slots()) {
       millis += MEMORY_WAIT_MILLIS * (calls + 1 - service.slots()) / service.slots();
     }
-    return millis + engine.overdue(nowMillis) * OVERDUE_MILLIS;
+    double failures = Math.max(0, engine.failureShare(nowMillis) - USUAL_FAILURES);
+    return millis
+        + engine.overdue(nowMillis) * OVERDUE_MILLIS
+        + failures * FAILURE_MILLIS
+        + (engine.isUnreachable() ? UNREACHABLE_MILLIS : 0);
   }
 
   /** The engine that all instances would choose for a session, if they knew nothing else. */
--- a/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
@@ -22,6 +22,12 @@
   /** What a late call costs, in slots. */
   private static final double OVERDUE_SLOTS = 6;
 
+  /** A share of failures that is no sign of a faulty replica. */
+  private static final double USUAL_FAILURES = 0.2;
+
+  /** What a replica that fails every call costs, in slots. */
+  private static final double FAILURE_SLOTS = 20;
+
   private static final long RETRY_MILLIS = 100;
 
   private final String domain;
@@ -58,7 +64,8 @@
       double calls =
           replica.own()
               + replica.others(nowMillis, TOLD_LIFE_MILLIS)
-              + replica.overdue(nowMillis) * OVERDUE_SLOTS;
+              + replica.overdue(nowMillis) * OVERDUE_SLOTS
+              + Math.max(0, replica.failureShare(nowMillis) - USUAL_FAILURES) * FAILURE_SLOTS;
       if (!replica.entry().domain().equals(domain)) {
         calls += CROSSING_SLOTS;
       }
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -23,6 +23,8 @@
   private long toldAtMillis = Long.MIN_VALUE / 2;
   private int ownAtTold;
   private long pausedUntilMillis = Long.MIN_VALUE;
+  private boolean isUnreachable;
+  private final FailureShare failures = new FailureShare();
   private final Breaker breaker = new Breaker();
   private final Map<String, Integer> versions = new HashMap<>();
   private final PartMemory parts = new PartMemory();
@@ -86,6 +88,16 @@
       return sentMillis;
     }
 
+    /**
+     * Tells whether its answer should have begun.
+     *
+     * @param nowMillis the steady time
+     * @return true if it is late
+     */
+    public boolean isOverdue(long nowMillis) {
+      return nowMillis > overdueMillis;
+    }
+
     /** Takes note that the answer began. */
     public void started() {
       isStarted = true;
@@ -193,6 +205,45 @@
     return breaker;
   }
 
+  /**
+   * Takes note of how a call ended.
+   *
+   * @param isFailure whether the replica failed or refused it
+   * @param nowMillis the steady time
+   */
+  public void outcome(boolean isFailure, long nowMillis) {
+    failures.add(isFailure, nowMillis);
+  }
+
+  /**
+   * Returns the share of calls that it failed or refused lately.
+   *
+   * @param nowMillis the steady time
+   * @return 0 to 1
+   */
+  public double failureShare(long nowMillis) {
+    return failures.share(nowMillis);
+  }
+
+  /** Takes note that it does not answer calls that cost it nothing. */
+  public void unreachable() {
+    isUnreachable = true;
+  }
+
+  /** Takes note that it answers. */
+  public void reachable() {
+    isUnreachable = false;
+  }
+
+  /**
+   * Tells whether it lately did not answer.
+   *
+   * @return true until it answers again
+   */
+  public boolean isUnreachable() {
+    return isUnreachable;
+  }
+
   /**
    * Returns what is believed to be in its cache memory.
    *
@@ -297,7 +348,7 @@
   public int overdue(long nowMillis) {
     int count = 0;
     for (Work call : work.values()) {
-      if (!call.isStarted && nowMillis > call.overdueMillis) {
+      if (!call.isStarted && call.isOverdue(nowMillis)) {
         count++;
       }
     }
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/placing/CachePlannerTest.java
@@ -0,0 +1,153 @@
+package org.bulrushpier.placing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.bulrushpier.call.PromptPart;
+import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.replica.Replica;
+import org.junit.jupiter.api.Test;
+
+class CachePlannerTest {
+
+  private static final long NOW = 50_000;
+  private static final String SALT = new CacheSalt("m", 1, "").text();
+
+  private final PromptShape prompt =
+      new PromptShape(
+          "m",
+          9_000,
+          20,
+          20,
+          List.of(
+              new PromptPart("system", 2_500),
+              new PromptPart("session", 5_000),
+              new PromptPart("own", 1_500)));
+  private final Replica engine = Engines.engine("e1", "norte");
+  private final CacheStoreState near = Engines.store("near", "norte", 100_000);
+  private final CacheStoreState far = Engines.store("far", "sur", 100_000);
+
+  private CachePlan plan() {
+    return CachePlanner.plan(prompt, SALT, Engines.SERVICE, engine, List.of(near, far), NOW);
+  }
+
+  @Test
+  void whatNobodyKeepsIsRead() {
+    CachePlan plan = plan();
+
+    assertThat(plan.readTokens()).isEqualTo(9_000);
+    assertThat(plan.sharedReadTokens()).isEqualTo(7_500);
+    assertThat(plan.sources()).containsOnly(CachePlan.NONE);
+  }
+
+  @Test
+  void aPartThatIsWholeInAStoreIsFetchedFromTheNearestOne() {
+    near.reported(1, NOW);
+    far.reported(1, NOW);
+    engine.parts().put(SALT, "system", 2_500);
+    near.holds(SALT, "session", 5_000);
+    far.holds(SALT, "session", 5_000);
+
+    CachePlan plan = plan();
+
+    assertThat(plan.keptTokens()).isEqualTo(2_500);
+    assertThat(plan.fetchedTokens()).isEqualTo(5_000);
+    assertThat(plan.readTokens()).isEqualTo(1_500);
+    assertThat(plan.sources())
+        .containsExactly("-", near.store().address().toString(), CachePlan.NONE);
+  }
+
+  @Test
+  void nothingIsFetchedBehindAPartThatMustBeRead() {
+    near.reported(1, NOW);
+    near.holds(SALT, "session", 5_000);
+
+    CachePlan plan = plan();
+
+    assertThat(plan.fetchedTokens()).isZero();
+    assertThat(plan.readTokens()).isEqualTo(9_000);
+  }
+
+  @Test
+  void aPartIsNotFetchedWhileItIsBeingSaved() {
+    near.reported(1, NOW);
+    near.saves(SALT, prompt.parts().get(0), NOW);
+
+    assertThat(plan().fetchedTokens()).isZero();
+
+    near.holds(SALT, "system", 2_500);
+    assertThat(plan().fetchedTokens()).isEqualTo(2_500);
+  }
+
+  @Test
+  void aPartThatIsPartlyThereIsNotFetched() {
+    near.reported(1, NOW);
+    near.holds(SALT, "system", 1_200);
+
+    assertThat(plan().fetchedTokens()).isZero();
+  }
+
+  @Test
+  void aStoreThatRestartedOrFellSilentIsNotUsed() {
+    near.reported(1, NOW);
+    near.holds(SALT, "system", 2_500);
+    near.reported(2, NOW);
+    assertThat(plan().fetchedTokens()).isZero();
+
+    near.holds(SALT, "system", 2_500);
+    near.silent();
+    assertThat(plan().fetchedTokens()).isZero();
+  }
+
+  @Test
+  void partsOfAnotherSaltAreNotFetched() {
+    near.reported(1, NOW);
+    near.holds(new CacheSalt("m", 2, "").text(), "system", 2_500);
+    near.holds(new CacheSalt("m", 1, "isolated").text(), "system", 2_500);
+
+    assertThat(plan().fetchedTokens()).isZero();
+  }
+
+  @Test
+  void sharedPartsAreSavedOnceAndThePromptsOwnPartNever() {
+    near.reported(1, NOW);
+    far.reported(1, NOW);
+
+    List<String> first = CachePlanner.saves(prompt, SALT, engine, List.of(near, far), NOW);
+    List<String> second = CachePlanner.saves(prompt, SALT, engine, List.of(near, far), NOW);
+
+    String address = near.store().address().toString();
+    assertThat(first).containsExactly(address, address, CachePlan.NONE);
+    assertThat(second).containsOnly(CachePlan.NONE);
+  }
+
+  @Test
+  void aStoreWithoutRoomIsPassedOver() {
+    CacheStoreState small = Engines.store("small", "norte", 1_000);
+    small.reported(1, NOW);
+    far.reported(1, NOW);
+
+    List<String> targets = CachePlanner.saves(prompt, SALT, engine, List.of(small, far), NOW);
+
+    assertThat(targets.get(0)).isEqualTo(far.store().address().toString());
+  }
+
+  @Test
+  void saltsOfOlderWeightsAreRecognised() {
+    assertThat(CacheSalt.isOlder(SALT, "m", 2)).isTrue();
+    assertThat(CacheSalt.isOlder(SALT, "m", 1)).isFalse();
+    assertThat(CacheSalt.isOlder(SALT, "n", 2)).isFalse();
+    assertThat(CacheSalt.isOlder("m/x/", "m", 2)).isFalse();
+    assertThat(CacheSalt.isOlder("", "m", 2)).isFalse();
+  }
+
+  @Test
+  void olderPartsAreListedBySalt() {
+    near.reported(1, NOW);
+    near.holds(SALT, "system", 2_500);
+    near.holds(new CacheSalt("m", 2, "").text(), "system", 2_500);
+
+    assertThat(near.olderParts("m", 2)).containsOnlyKeys(SALT);
+    assertThat(near.freeTokens()).isEqualTo(95_000);
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -0,0 +1,155 @@
+package org.bulrushpier.placing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.bulrushpier.Moment;
+import org.bulrushpier.call.PromptPart;
+import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.replica.Replica;
+import org.bulrushpier.rollout.WantedWeights;
+import org.bulrushpier.rollout.WeightsWish;
+import org.junit.jupiter.api.Test;
+
+class EnginePlacementTest {
+
+  private static final long NOW = 50_000;
+  private static final WeightsWish ANY = wish(0, 0);
+
+  private final EnginePlacement placement = EnginePlacement.of("norte", new ReadingRate());
+  private final List<Replica> engines = new ArrayList<>();
+
+  EnginePlacementTest() {
+    for (int i = 0; i < 6; i++) {
+      engines.add(Engines.engine("e" + i, i < 2 ? "norte" : i < 4 ? "centro" : "sur"));
+    }
+  }
+
+  private static WeightsWish wish(int version, long ageMillis) {
+    return WeightsWish.of(
+        new WantedWeights.Named(version, new Moment(0, 0)),
+        new Moment(ageMillis, ageMillis),
+        8_000);
+  }
+
+  private static PromptShape prompt(String session, int tokens) {
+    return new PromptShape(
+        "m",
+        tokens,
+        20,
+        20,
+        List.of(new PromptPart(session, tokens - 500), new PromptPart("own", 500)));
+  }
+
+  private Placement choose(PromptShape prompt, WeightsWish wish, Set<String> excluded, long left) {
+    return placement.choose(
+        prompt,
+        version -> new CacheSalt("m", version, "").text(),
+        Engines.SERVICE,
+        engines,
+        wish,
+        List.of(),
+        excluded,
+        left,
+        NOW);
+  }
+
+  private String chosen(PromptShape prompt, WeightsWish wish) {
+    return ((Placement.Send) choose(prompt, wish, Set.of(), 5_000)).replica().entry().id();
+  }
+
+  @Test
+  void aSessionReturnsToTheEngineThatKeepsIt() {
+    PromptShape prompt = prompt("s", 8_000);
+    engines.get(4).parts().put(new CacheSalt("m", 1, "").text(), "s", 7_500);
+
+    assertThat(chosen(prompt, ANY)).isEqualTo("e4");
+  }
+
+  @Test
+  void instancesAgreeOnTheHomeOfAnUnknownSession() {
+    String first = chosen(prompt("another", 8_000), ANY);
+    EnginePlacement elsewhere = EnginePlacement.of("sur", new ReadingRate());
+
+    Placement second =
+        elsewhere.choose(
+            prompt("another", 8_000),
+            version -> new CacheSalt("m", version, "").text(),
+            Engines.SERVICE,
+            engines,
+            ANY,
+            List.of(),
+            Set.of(),
+            5_000,
+            NOW);
+
+    assertThat(((Placement.Send) second).replica().entry().id()).isEqualTo(first);
+  }
+
+  @Test
+  void aBurstOfLongPromptsSpreadsOverAllEngines() {
+    for (int i = 0; i < 18; i++) {
+      PromptShape prompt = prompt("s" + i, 8_000);
+      Placement.Send send = (Placement.Send) choose(prompt, ANY, Set.of(), 60_000);
+      send.replica().begin("r" + i, new Replica.Work(8_000, 8_020, 0, NOW, NOW + 10_000));
+    }
+
+    assertThat(engines).allSatisfy(engine -> assertThat(engine.own()).isBetween(2, 4));
+  }
+
+  @Test
+  void aCallThatCannotBeginInTimeIsRefusedAtOnceWithTheTimeOfRoom() {
+    for (Replica engine : engines) {
+      for (int i = 0; i < 10; i++) {
+        engine.begin("r" + i, new Replica.Work(8_000, 8_020, 0, NOW, NOW + 10_000));
+      }
+    }
+
+    Placement refusal = choose(prompt("s", 8_000), ANY, Set.of(), 1_000);
+
+    assertThat(refusal).isInstanceOf(Placement.Refuse.class);
+    assertThat(((Placement.Refuse) refusal).retryAfterMillis()).isGreaterThan(500);
+  }
+
+  @Test
+  void enginesThatFailOrDoNotAnswerAreAvoided() {
+    for (int i = 0; i < 30; i++) {
+      engines.get(0).outcome(true, NOW);
+    }
+    engines.get(1).unreachable();
+    engines.get(2).begin("late", new Replica.Work(0, 0, 0, NOW - 2_000, NOW - 1_000));
+
+    for (int i = 0; i < 40; i++) {
+      assertThat(chosen(prompt("s" + i, 2_000), ANY)).isIn("e3", "e4", "e5");
+    }
+  }
+
+  @Test
+  void anEngineThatWasTriedIsNotTriedAgain() {
+    Placement none =
+        choose(prompt("s", 800), ANY, Set.of("e0", "e1", "e2", "e3", "e4", "e5"), 5_000);
+
+    assertThat(none).isInstanceOf(Placement.Refuse.class);
+  }
+
+  @Test
+  void olderWeightsAreUsedWhileNewOnesAreCrowded() {
+    engines.get(3).sawVersion("m", 2);
+    assertThat(chosen(prompt("s", 800), wish(2, 3_000))).isEqualTo("e3");
+
+    for (int i = 0; i < 4; i++) {
+      engines.get(3).begin("r" + i, new Replica.Work(8_000, 8_020, 0, NOW, NOW + 10_000));
+    }
+
+    assertThat(chosen(prompt("s", 800), wish(2, 3_000))).isNotEqualTo("e3");
+  }
+
+  @Test
+  void olderWeightsAreNotUsedWhenTheCallMightBeginTooLate() {
+    Placement refusal = choose(prompt("s", 800), wish(2, 7_400), Set.of(), 5_000);
+
+    assertThat(refusal).isInstanceOf(Placement.Refuse.class);
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/placing/Engines.java
@@ -0,0 +1,41 @@
+package org.bulrushpier.placing;
+
+import java.util.List;
+import java.util.Map;
+import org.bulrushpier.Address;
+import org.bulrushpier.replica.Replica;
+import org.bulrushpier.replica.ReplicaEntry;
+import org.bulrushpier.replica.ReplicaTable;
+import org.bulrushpier.site.Service;
+
+/** Engines and stores for tests. */
+final class Engines {
+
+  static final Service.Engines SERVICE =
+      new Service.Engines("engines", 300, 48, 53_000, 131_072, 130_000, true, List.of("m"));
+
+  private static int lastPort = 9_000;
+
+  private Engines() {}
+
+  static Replica engine(String id, String domain) {
+    ReplicaTable table = new ReplicaTable();
+    table.put(
+        new ReplicaEntry(
+            id,
+            "engines",
+            new Address("10.0.0.1", ++lastPort),
+            domain,
+            48,
+            false,
+            1,
+            Map.of("m", 1)));
+    return table.find(id);
+  }
+
+  static CacheStoreState store(String name, String domain, long tokens) {
+    return new CacheStoreState(
+        new Service.CacheStore(
+            name, new Address("10.0.0.2", ++lastPort), domain, tokens, 260_000, 6, true));
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/placing/PlainPlacementTest.java
@@ -0,0 +1,60 @@
+package org.bulrushpier.placing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.bulrushpier.call.UpstreamAnswer.ToldLoad;
+import org.bulrushpier.replica.Replica;
+import org.junit.jupiter.api.Test;
+
+class PlainPlacementTest {
+
+  private static final long NOW = 50_000;
+
+  private final Replica near = Engines.engine("near", "norte");
+  private final Replica far = Engines.engine("far", "sur");
+  private final PlainPlacement placement = PlainPlacement.of("norte");
+
+  private String chosen() {
+    Placement placed = placement.choose(List.of(far, near), Set.of(), NOW);
+    return ((Placement.Send) placed).replica().entry().id();
+  }
+
+  @Test
+  void theOwnDomainGoesFirst() {
+    assertThat(chosen()).isEqualTo("near");
+  }
+
+  @Test
+  void callsOfOtherInstancesCount() {
+    near.told(new ToldLoad(5, 2, 6), NOW);
+
+    assertThat(chosen()).isEqualTo("far");
+  }
+
+  @Test
+  void aReplicaWithALateCallIsAvoidedBeforeItsBreakerOpens() {
+    near.begin("late", new Replica.Work(0, 0, 0, NOW - 400, NOW - 100));
+    for (int i = 0; i < 4; i++) {
+      far.begin("r" + i, new Replica.Work(0, 0, 0, NOW, NOW + 200));
+    }
+
+    assertThat(chosen()).isEqualTo("far");
+  }
+
+  @Test
+  void aReplicaThatFailsPartOfItsCallsIsAvoided() {
+    for (int i = 0; i < 20; i++) {
+      near.outcome(i % 2 == 0, NOW);
+    }
+
+    assertThat(chosen()).isEqualTo("far");
+  }
+
+  @Test
+  void withoutReplicasTheCallIsRefused() {
+    assertThat(placement.choose(List.of(near), Set.of("near"), NOW))
+        .isInstanceOf(Placement.Refuse.class);
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/replica/ReplicaTableTest.java
@@ -0,0 +1,126 @@
+package org.bulrushpier.replica;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.Set;
+import org.bulrushpier.Address;
+import org.bulrushpier.replica.ReplicaTable.Change;
+import org.junit.jupiter.api.Test;
+
+class ReplicaTableTest {
+
+  private static final long NOW = 100_000;
+
+  private final ReplicaTable table = new ReplicaTable();
+
+  private static ReplicaEntry entry(String id, long born, boolean isDraining) {
+    return new ReplicaEntry(
+        id,
+        "records",
+        Address.parse("10.0.0.1:8080"),
+        "norte",
+        6,
+        isDraining,
+        born,
+        Map.of("m", 1));
+  }
+
+  @Test
+  void drainingIsFinalWithinALife() {
+    table.put(entry("a", 7, false));
+    assertThat(table.put(entry("a", 7, true))).isEqualTo(Change.DRAINING);
+
+    table.put(entry("a", 7, false));
+
+    assertThat(table.find("a").isUsable(NOW)).isFalse();
+  }
+
+  @Test
+  void aNewLifeUnderAnOldIdStartsAfresh() {
+    table.put(entry("a", 7, true));
+    Replica first = table.find("a");
+
+    assertThat(table.put(entry("a", 8, false))).isEqualTo(Change.RESTARTED);
+
+    assertThat(table.find("a")).isNotSameAs(first);
+    assertThat(table.find("a").isUsable(NOW)).isTrue();
+  }
+
+  @Test
+  void anEntryOfAnEarlierLifeIsStale() {
+    table.put(entry("a", 8, false));
+
+    assertThat(table.put(entry("a", 7, true))).isEqualTo(Change.STALE);
+
+    assertThat(table.find("a").isLeaving()).isFalse();
+  }
+
+  @Test
+  void anEntryWithoutBirthIsForeignWhereOthersHaveOne() {
+    assertThat(table.put(entry("old-platform", 0, false))).isEqualTo(Change.ADDED);
+    table.put(entry("a", 7, false));
+
+    assertThat(table.put(entry("b", 0, false))).isEqualTo(Change.FOREIGN);
+    assertThat(table.find("b")).isNull();
+  }
+
+  @Test
+  void aRemovedEntryMeansLeavingWhileTheStoreIsWell() {
+    table.put(entry("a", 7, false));
+    Replica replica = table.find("a");
+
+    assertThat(table.remove("a", NOW)).isEqualTo(Change.REMOVED);
+
+    assertThat(replica.isLeaving()).isTrue();
+    assertThat(table.find("a")).isNull();
+  }
+
+  @Test
+  void anEntryThatLapsedWhileTheStoreWasAwayIsWaitedFor() {
+    table.put(entry("a", 7, false));
+    table.put(entry("b", 7, false));
+    table.storeAway();
+    assertThat(table.storeBack(NOW)).isTrue();
+
+    assertThat(table.retain(Set.of(), NOW)).containsEntry("a", Change.MISSING);
+    assertThat(table.find("a").isUsable(NOW)).isTrue();
+    table.put(entry("b", 7, false));
+
+    assertThat(table.expire(NOW + ReplicaTable.RETURN_MILLIS - 1)).isEmpty();
+    assertThat(table.expire(NOW + ReplicaTable.RETURN_MILLIS)).containsExactly("a");
+    assertThat(table.find("b").isUsable(NOW)).isTrue();
+  }
+
+  @Test
+  void aDrainingReplicaThatLapsesIsNotWaitedFor() {
+    table.put(entry("a", 7, true));
+    table.storeAway();
+    table.storeBack(NOW);
+
+    assertThat(table.remove("a", NOW)).isEqualTo(Change.REMOVED);
+  }
+
+  @Test
+  void versionsSeenInAnswersAreNotUndoneByAnUnchangedEntry() {
+    table.put(entry("a", 7, false));
+    Replica replica = table.find("a");
+    replica.sawVersion("m", 2);
+
+    table.put(entry("a", 7, false));
+
+    assertThat(replica.version("m")).isEqualTo(2);
+  }
+
+  @Test
+  void failuresFadeWithTime() {
+    table.put(entry("a", 7, false));
+    Replica replica = table.find("a");
+    for (int i = 0; i < 30; i++) {
+      replica.outcome(true, NOW);
+    }
+
+    assertThat(replica.failureShare(NOW)).isGreaterThan(0.9);
+    assertThat(replica.failureShare(NOW + 9_000)).isLessThan(0.15);
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/rollout/OrderLeaseTest.java
@@ -0,0 +1,128 @@
+package org.bulrushpier.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.bulrushpier.Moment;
+import org.junit.jupiter.api.Test;
+
+class OrderLeaseTest {
+
+  private static final long TURN = 3_000;
+
+  private static Moment at(long millis) {
+    return new Moment(millis, millis);
+  }
+
+  private static LeaseRecord record(String holder, boolean isReleased) {
+    return new LeaseRecord(holder, 2, List.of(), List.of(), isReleased);
+  }
+
+  @Test
+  void ordersAreGivenOnlyShortlyAfterAWrite() {
+    OrderLease lease = OrderLease.of("a", TURN);
+    assertThat(lease.mayOrder(at(0))).isFalse();
+
+    lease.wrote(record("a", false), 10, at(1_000));
+
+    assertThat(lease.mayOrder(at(1_100))).isTrue();
+    assertThat(lease.mayOrder(at(1_000 + OrderLease.TENURE_MILLIS))).isFalse();
+    assertThat(lease.fence()).isEqualTo(10);
+  }
+
+  @Test
+  void aSuspensionEndsTheRightToOrder() {
+    OrderLease lease = OrderLease.of("a", TURN);
+    lease.wrote(record("a", false), 10, at(1_000));
+
+    assertThat(lease.mayOrder(new Moment(1_010, 8_010))).isFalse();
+  }
+
+  @Test
+  void renewalsKeepTheFenceAndALaterTenureHasALargerOne() {
+    OrderLease lease = OrderLease.of("a", TURN);
+    lease.wrote(record("a", false), 10, at(1_000));
+    lease.wrote(record("a", false), 14, at(1_300));
+    assertThat(lease.fence()).isEqualTo(10);
+
+    lease.observed(record("b", false), 20, at(9_000));
+    assertThat(lease.isHeld()).isFalse();
+    lease.wrote(record("a", false), 31, at(20_000));
+
+    assertThat(lease.fence()).isEqualTo(31);
+  }
+
+  @Test
+  void aReleasedLeaseIsTakenAfterTheTurnTimeOnly() {
+    OrderLease lease = OrderLease.of("a", TURN);
+    lease.observed(record("b", true), 10, at(1_000));
+
+    assertThat(lease.mayTake(at(1_000 + TURN))).isFalse();
+    assertThat(lease.mayTake(at(1_000 + TURN + 500))).isTrue();
+  }
+
+  @Test
+  void anOlderRevisionChangesNothing() {
+    OrderLease lease = OrderLease.of("a", TURN);
+    lease.wrote(record("a", false), 10, at(1_000));
+
+    lease.observed(record("b", false), 9, at(1_050));
+
+    assertThat(lease.isHeld()).isTrue();
+  }
+
+  /**
+   * Two instances race for one object that only conditional writes change. Notices and answers may
+   * be late; whatever happens, orders of different holders are a turn apart.
+   */
+  @Property
+  void ordersOfTwoHoldersAreATurnApart(
+      @ForAll @Size(max = 200) List<@IntRange(max = 5) Integer> actions,
+      @ForAll @Size(min = 200, max = 200) List<@IntRange(max = 900) Integer> pauses) {
+    OrderLease[] leases = {OrderLease.of("0", TURN), OrderLease.of("1", TURN)};
+    LeaseRecord stored = null;
+    long revision = 0;
+    List<long[]> orders = new ArrayList<>();
+    long now = 0;
+    for (int i = 0; i < actions.size(); i++) {
+      now += pauses.get(i);
+      int who = actions.get(i) % 2;
+      OrderLease lease = leases[who];
+      switch (actions.get(i) / 2) {
+        case 0 -> {
+          boolean wants = lease.isHeld() || lease.mayTake(at(now));
+          if (wants && lease.revision() == revision) {
+            stored = record(Integer.toString(who), false);
+            lease.wrote(stored, ++revision, at(now));
+          } else if (wants) {
+            lease.lost();
+            lease.observed(stored, revision, at(now));
+          }
+        }
+        case 1 -> {
+          if (lease.mayOrder(at(now))) {
+            orders.add(new long[] {who, now, lease.fence()});
+          }
+        }
+        default -> {
+          if (stored != null) {
+            lease.observed(stored, revision, at(now));
+          }
+        }
+      }
+    }
+    for (int i = 1; i < orders.size(); i++) {
+      long[] before = orders.get(i - 1);
+      long[] after = orders.get(i);
+      if (before[0] != after[0]) {
+        assertThat(after[1] - before[1]).isGreaterThanOrEqualTo(TURN);
+        assertThat(after[2]).isGreaterThan(before[2]);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
@@ -0,0 +1,67 @@
+package org.bulrushpier.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bulrushpier.Address;
+import org.bulrushpier.Moment;
+import org.bulrushpier.call.UpstreamAnswer.ToldLoad;
+import org.bulrushpier.replica.Replica;
+import org.bulrushpier.replica.ReplicaEntry;
+import org.bulrushpier.replica.ReplicaTable;
+import org.junit.jupiter.api.Test;
+
+class RolloutPlanTest {
+
+  private final List<Replica> engines = new ArrayList<>();
+
+  RolloutPlanTest() {
+    ReplicaTable table = new ReplicaTable();
+    for (int i = 0; i < 13; i++) {
+      String id = "e" + i;
+      table.put(
+          new ReplicaEntry(
+              id, "s", new Address("10.0.0.1", 9_000 + i), "d", 48, false, 1, Map.of("m", 1)));
+      engines.add(table.find(id));
+    }
+  }
+
+  @Test
+  void aShareOfTheEnginesChangesAtATime() {
+    List<Replica> first = RolloutPlan.next("m", 2, engines, Set.of());
+    assertThat(first).hasSize(4);
+
+    assertThat(RolloutPlan.next("m", 2, engines, Set.of("e0", "e1", "e2", "e3"))).isEmpty();
+    assertThat(RolloutPlan.next("m", 2, engines, Set.of("e0", "e1", "e2"))).hasSize(1);
+  }
+
+  @Test
+  void theLeastBusyGoFirst() {
+    engines.forEach(engine -> engine.told(new ToldLoad(9, 0, 48), 0));
+    engines.get(7).told(new ToldLoad(0, 0, 48), 0);
+
+    assertThat(RolloutPlan.next("m", 2, engines, Set.of()).get(0)).isSameAs(engines.get(7));
+  }
+
+  @Test
+  void enginesWithTheVersionAreLeftAlone() {
+    engines.forEach(engine -> engine.sawVersion("m", 2));
+
+    assertThat(RolloutPlan.next("m", 2, engines, Set.of())).isEmpty();
+  }
+
+  @Test
+  void wantedVersionsNeverGoDown() {
+    WantedWeights weights = new WantedWeights();
+    assertThat(weights.name("m", 3, new Moment(5, 5))).isTrue();
+    assertThat(weights.name("m", 2, new Moment(6, 6))).isFalse();
+    assertThat(weights.name("m", 3, new Moment(7, 7))).isFalse();
+
+    assertThat(weights.wanted("m").version()).isEqualTo(3);
+    assertThat(weights.wanted("m").since()).isEqualTo(new Moment(5, 5));
+    assertThat(weights.wanted("n").version()).isZero();
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/stream/EventSplitterTest.java
@@ -0,0 +1,70 @@
+package org.bulrushpier.stream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+class EventSplitterTest {
+
+  private final List<String> events = new ArrayList<>();
+  private final List<Long> ids = new ArrayList<>();
+
+  private void take(byte[] bytes, long id) {
+    events.add(new String(bytes, StandardCharsets.UTF_8));
+    ids.add(id);
+  }
+
+  private void feed(EventSplitter splitter, String text) {
+    splitter.feed(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), this::take);
+  }
+
+  /** Wherever the network cuts the stream, the same events come out. */
+  @Property
+  void cutsDoNotMatter(@ForAll @Size(max = 40) List<@IntRange(min = 1, max = 9) Integer> cuts) {
+    events.clear();
+    ids.clear();
+    String stream =
+        "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\r\ndata: b\r\n\r\nid: 13\ndata:\n\n";
+    EventSplitter splitter = new EventSplitter();
+    int at = 0;
+    for (int cut : cuts) {
+      int end = Math.min(stream.length(), at + cut);
+      feed(splitter, stream.substring(at, end));
+      at = end;
+    }
+    feed(splitter, stream.substring(at));
+
+    assertThat(String.join("", events)).isEqualTo(stream);
+    assertThat(ids).containsExactly(1L, 2L, 13L);
+    assertThat(splitter.isPartial()).isFalse();
+  }
+
+  @Example
+  void aPartOfAnEventIsHeldBackAndForgottenOnReset() {
+    EventSplitter splitter = new EventSplitter();
+    feed(splitter, "id: 1\ndata: a\n\nid: 2\nda");
+
+    assertThat(ids).containsExactly(1L);
+    assertThat(splitter.isPartial()).isTrue();
+
+    splitter.reset();
+    feed(splitter, "id: 2\ndata: b\n\n");
+    assertThat(ids).containsExactly(1L, 2L);
+  }
+
+  @Example
+  void anEventWithoutANumberHasNoId() {
+    EventSplitter splitter = new EventSplitter();
+    feed(splitter, "data: a\n\nid: x\ndata: b\n\n");
+
+    assertThat(ids).containsExactly(-1L, -1L);
+  }
+}
