--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -47,6 +47,9 @@
   /** How long the balancer may go on sending connections after a failed readiness check. */
   private static final long BALANCER_MILLIS = 2_500;
 
+  /** Requests read later than this after the signal might not end in time, in milliseconds. */
+  private static final long LAST_REQUEST_MILLIS = 2_800;
+
   /** The share of the shutdown time after which requests still running are given up. */
   private static final double SHUTDOWN_SHARE = 0.88;
 
@@ -66,6 +69,7 @@
   private final RolloutKeeper rollouts;
   private final CacheEvents cacheEvents;
   private boolean isLeaving;
+  private long leavingSinceMillis;
   private boolean wasReady;
 
   private Gateway(GatewaySettings settings) {
@@ -167,6 +171,7 @@
     loop.run(
         () -> {
           isLeaving = true;
+          leavingSinceMillis = start;
           tables.log().event("leaving", "running", exchanges.size());
         });
     long limit = (long) (settings.shutdownMillis() * SHUTDOWN_SHARE);
@@ -209,6 +214,12 @@
     @Override
     public void requested(CallerConnection connection, InboundRequest inbound) {
       connections.add(connection);
+      if (isLeaving && Steady.millis() - leavingSinceMillis > LAST_REQUEST_MILLIS) {
+        tables.log().event("refused", "reason", "this instance is shutting down");
+        HttpFields fields = CallFormat.own("", "this instance is shutting down", 0);
+        connection.answer(503, fields, new byte[0]);
+        return;
+      }
       CallerRequest request;
       try {
         request = CallFormat.request(inbound.method(), inbound.target(), inbound.fields());
