A reset is told from an orderly end; connections return to their pool at once

Cause (found by a new test against raw sockets): Jetty's end point reports a reset as the end of input, so an answer without a length that was reset looked whole; and a connection returned to its pool only after the lock was given up once, so a next call opened another one. Ruled out: the parser, which was told of an end. Change: an end point of our own at Jetty's seam; the return happens with the last byte read.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/NetLoop.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/NetLoop.java
@@ -9,16 +9,16 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
-import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 import org.bulrushpier.Address;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -183,8 +183,8 @@
   /** The selector that makes end points and connections. */
   private final class Selectors extends SelectorManager {
 
-    private final java.util.Map<SelectableChannel, CallerConnection.Handler> handlers =
-        new java.util.concurrent.ConcurrentHashMap<>();
+    private final Map<SelectableChannel, CallerConnection.Handler> handlers =
+        new ConcurrentHashMap<>();
 
     Selectors() {
       super(threads, scheduler, 1);
@@ -205,8 +205,8 @@
     @Override
     protected EndPoint newEndPoint(
         SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-      SocketChannelEndPoint endPoint =
-          new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler());
+      ResetAwareEndPoint endPoint =
+          new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
       endPoint.setIdleTimeout(0);
       return endPoint;
     }
@@ -233,9 +233,4 @@
       }
     }
   }
-
-  /** Runs a consumer under the lock. */
-  <T> Consumer<T> locked(Consumer<T> work) {
-    return value -> run(() -> work.accept(value));
-  }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ReplicaConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ReplicaConnection.java
@@ -143,6 +143,9 @@
       }
     }
     bytes.position(bytes.limit());
+    if (!isDue && !isClosed()) {
+      group.idle(this);
+    }
   }
 
   @Override
@@ -191,18 +194,6 @@
     }
   }
 
-  /** Returns the connection to its group once the bytes that were read are used up. */
-  @Override
-  public void onFillable() {
-    super.onFillable();
-    loop.run(
-        () -> {
-          if (!isDue && !isClosed()) {
-            group.idle(this);
-          }
-        });
-  }
-
   /** Receives the parser's events. */
   private final class Responses implements HttpParser.ResponseHandler {
 
--- /dev/null
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -0,0 +1,183 @@
+package org.bulrushpier.daemon.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.bulrushpier.Address;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class CallerConnectionTest {
+
+  private static final int LIMIT_SECONDS = 30;
+
+  private final NetLoop loop = NetLoop.start();
+  private final BlockingQueue<CallerConnection> connections = new LinkedBlockingQueue<>();
+  private final BlockingQueue<InboundRequest> requests = new LinkedBlockingQueue<>();
+  private final CompletableFuture<Void> left = new CompletableFuture<>();
+  private Address address;
+  private Closeable listener;
+
+  /** Keeps requests for the test to answer. */
+  private final class Keeper implements CallerConnection.Handler {
+    @Override
+    public void requested(CallerConnection connection, InboundRequest request) {
+      connections.add(connection);
+      requests.add(request);
+    }
+
+    @Override
+    public void left(CallerConnection connection) {
+      left.complete(null);
+    }
+
+    @Override
+    public CallerConnection.Bounds bounds() {
+      return new CallerConnection.Bounds(2_000, 1_000, 60_000, 60_000);
+    }
+  }
+
+  @BeforeEach
+  void listen() throws IOException {
+    try (ServerSocket free = new ServerSocket(0)) {
+      address = new Address("127.0.0.1", free.getLocalPort());
+    }
+    listener = loop.listen(address, new Keeper());
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    listener.close();
+    loop.stop();
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket(address.host(), address.port());
+    socket.setSoTimeout(LIMIT_SECONDS * 1_000);
+    return socket;
+  }
+
+  private InboundRequest next() throws InterruptedException {
+    return requests.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private void answer(String body) throws InterruptedException {
+    CallerConnection connection = connections.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+    loop.run(() -> connection.answer(200, HttpFields.EMPTY, body.getBytes()));
+  }
+
+  @Test
+  void aCallerThatLeavesWhileItsRequestIsHandledIsNoticed() throws Exception {
+    Socket socket = connect();
+    RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    assertThat(next().target()).isEqualTo("/a");
+
+    socket.close();
+
+    left.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void requestsSentAheadAreAnsweredInOrder() throws Exception {
+    try (Socket socket = connect()) {
+      RawServer.write(
+          socket,
+          "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+              + "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+      InboundRequest first = next();
+      assertThat(first.body()).asString().isEqualTo("abc");
+      assertThat(requests).isEmpty();
+      answer("one");
+      assertThat(next().target()).isEqualTo("/b");
+      answer("two");
+
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200").contains("Length: 3");
+    }
+  }
+
+  @Test
+  void chunkedBodiesAreReadWhole() throws Exception {
+    try (Socket socket = connect()) {
+      RawServer.write(
+          socket,
+          "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+              + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+
+      assertThat(next().body()).asString().isEqualTo("abcde");
+    }
+  }
+
+  @Test
+  void aRequestThatHidesAnotherIsRefused() throws Exception {
+    String[] smuggled = {
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + "0\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+      "GET /a HTTP/1.1\r\nHost: x\r\nX : y\r\n\r\n",
+      "GET /a HTTP/1.1\r\nHost: x\r\n folded: y\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n"
+    };
+    for (String bytes : smuggled) {
+      try (Socket socket = connect()) {
+        RawServer.write(socket, bytes);
+
+        assertThat(RawServer.readHead(socket)).as(bytes).startsWith("HTTP/1.1 400");
+        assertThat(requests).as(bytes).isEmpty();
+      }
+    }
+  }
+
+  @Test
+  void headsAndBodiesBeyondTheBoundsAreRefused() throws Exception {
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\nX: " + "y".repeat(3_000) + "\r\n\r\n");
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 431");
+    }
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n");
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 413");
+    }
+    assertThat(requests).isEmpty();
+  }
+
+  @Test
+  void anAnswerThatIsCutOffDoesNotLookComplete() throws Exception {
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      next();
+      CallerConnection connection = connections.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+      loop.run(
+          () -> {
+            connection.start(200, HttpFields.EMPTY, -1);
+            connection.body(java.nio.ByteBuffer.wrap("part".getBytes()));
+          });
+      assertThat(RawServer.readHead(socket)).containsIgnoringCase("chunked");
+
+      loop.run(connection::abort);
+
+      String rest = new String(socket.getInputStream().readAllBytes());
+      assertThat(rest).isEqualTo("4\r\npart\r\n");
+    }
+  }
+
+  @Test
+  void aCallerThatAsksForTheEndGetsIt() throws Exception {
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+      next();
+      answer("bye");
+
+      assertThat(RawServer.readHead(socket)).containsIgnoringCase("Connection: close");
+      assertThat(new String(socket.getInputStream().readAllBytes())).isEqualTo("bye");
+    }
+  }
+}
