Stand-ins of the platform's store and replicas, and the gateway before them

Change: a metadata store and replicas that speak raw HTTP and break its rules on demand; twelve tests over sockets.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -189,6 +189,11 @@
     loop.run(() -> tables.log().event("stopped", "running", exchanges.size()));
   }
 
+  /** Ends at once; open connections are closed. */
+  public void stop() {
+    loop.stop();
+  }
+
   private boolean isQuiet() {
     boolean[] isQuiet = new boolean[1];
     loop.run(
--- /dev/null
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -0,0 +1,354 @@
+package org.bulrushpier.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.bulrushpier.Address;
+import org.bulrushpier.Finding;
+import org.bulrushpier.daemon.serve.Gateway;
+import org.bulrushpier.rig.gateway.MetadataStoreFake;
+import org.bulrushpier.rig.gateway.ReplicaFake;
+import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
+import org.bulrushpier.settings.GatewaySettings;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The entry on the users' platform before stand-ins of their store, services and engines. */
+class GatewayIntegrationTest {
+
+  private static final String CONFIGURATION =
+      """
+      {"version":%d,"routes":[
+        {"name":"once","host":"127.0.0.1","path_prefix":"/once/","kind":"non_idempotent",
+         "timeout_ms":20000,"goal_ms":5000,"service":"plain","max_attempts":2},
+        {"name":"safe","host":"127.0.0.1","path_prefix":"/safe/","kind":"safe",
+         "timeout_ms":20000,"goal_ms":5000,"service":"plain","max_attempts":2},
+        {"name":"stream","host":"127.0.0.1","path_prefix":"/stream/","kind":"streaming",
+         "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":2,"can_resume":true},
+        {"name":"note","host":"127.0.0.1","path_prefix":"/note/","kind":"streaming",
+         "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":1}],
+       "services":[{"name":"plain","max_conns":50},
+        {"name":"engines","max_conns":50,"engine":{"slots":6,"kv_capacity":50000,"kv_bytes":1000,
+         "link_mbps":1000.0,"models":[{"name":"m0"}]}}],
+       "limits":{},"tenants":[{"name":"surco","api_keys":[%s],"priority":1}]}
+      """;
+
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final List<ReplicaFake> replicas = new ArrayList<>();
+  private MetadataStoreFake store;
+  private Gateway gateway;
+  private GatewaySettings settings;
+  private int lastId;
+
+  @BeforeEach
+  void start() throws Exception {
+    store = MetadataStoreFake.start();
+    configure(1, "\"key\"");
+    for (int i = 0; i < 2; i++) {
+      register("p" + i, "plain");
+      register("e" + i, "engines");
+    }
+    start(5_000);
+  }
+
+  private void start(long revocationMillis) throws Exception {
+    String text =
+        """
+        [gateway]
+        name = entry-1
+        domain = norte
+        caller-address = %s
+        ready-address = %s
+        metrics-address = %s
+        platform-address = %s
+        key-revocation-ms = %d
+        shutdown-seconds = 30
+        retry-minimum = 80
+        order-lease-ms = 300
+        """
+            .formatted(free(), free(), free(), store.address(), revocationMillis);
+    List<Finding> findings = new ArrayList<>();
+    settings = GatewaySettings.parse("test.ini", text, findings);
+    assertThat(findings).isEmpty();
+    gateway = Gateway.start(settings);
+    await(this::isReady);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    gateway.stop();
+    for (ReplicaFake replica : replicas) {
+      replica.close();
+    }
+    store.close();
+  }
+
+  private static Address free() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new Address("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  private void configure(int version, String keys) throws IOException {
+    store.put("config", "main", CONFIGURATION.formatted(version, keys));
+  }
+
+  private void register(String id, String service) throws IOException {
+    ReplicaFake replica = ReplicaFake.start(id);
+    replicas.add(replica);
+    store.put("servers", id, replica.entry(service, "ready"));
+  }
+
+  private Stream<ReplicaFake> of(String service) {
+    int offset = service.equals("plain") ? 0 : 1;
+    return Stream.of(replicas.get(offset), replicas.get(offset + 2));
+  }
+
+  private void behave(String service, Behaviour behaviour) {
+    of(service).forEach(replica -> replica.behave(behaviour));
+  }
+
+  private long ran(String service) {
+    return of(service).mapToLong(replica -> replica.ran().size()).sum();
+  }
+
+  private boolean isReady() {
+    return status(
+            HttpRequest.newBuilder(URI.create("http://" + settings.readyAddress() + "/ready")))
+        == 200;
+  }
+
+  private int status(HttpRequest.Builder request) {
+    try {
+      return client.send(request.build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private HttpRequest.Builder request(String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + settings.callerAddress() + path))
+        .timeout(Duration.ofSeconds(60))
+        .header("Attempt-Id", "id" + ++lastId)
+        .header("Deadline-Ms", "20000")
+        .header("Authorization", "Bearer key");
+  }
+
+  private HttpRequest.Builder generation(String path) {
+    return request(path)
+        .header("Model", "m0")
+        .header("Token-Usage", "100,5")
+        .header("Prefix-Hash", "a1:80,b2:20")
+        .POST(HttpRequest.BodyPublishers.ofString("prompt"));
+  }
+
+  private HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+    return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  /** Waits for what must become true; the limit only ends a test that has failed. */
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long limit = System.nanoTime() + Duration.ofSeconds(60).toNanos();
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).isLessThan(limit);
+      Thread.sleep(20);
+    }
+  }
+
+  private static String events(int from, int to) {
+    StringBuilder text = new StringBuilder();
+    for (int i = from; i <= to; i++) {
+      text.append("id: ").append(i).append("\ndata: ").append(i).append("\n\n");
+    }
+    return text.toString();
+  }
+
+  @Test
+  void aCallIsForwardedWithWhatOnlyTheSystemSets() throws Exception {
+    HttpResponse<String> response =
+        send(
+            request("/safe/a/b?x=%20y")
+                .header("Tenant", "forged")
+                .header("Cache-Salt", "forged")
+                .header("X-Own", "kept"));
+
+    assertThat(response.statusCode()).isEqualTo(200);
+    assertThat(response.body()).isEqualTo("done");
+    ReplicaFake.Ran ran = of("plain").flatMap(r -> r.ran().stream()).findFirst().orElseThrow();
+    assertThat(ran.target()).isEqualTo("/safe/a/b?x=%20y");
+    assertThat(ran.fields())
+        .containsEntry("tenant", "surco")
+        .containsEntry("x-own", "kept")
+        .containsEntry("attempt-id", "id1")
+        .doesNotContainKeys("authorization", "cache-salt");
+    assertThat(Long.parseLong(ran.fields().get("deadline-ms"))).isBetween(1L, 20_000L);
+    assertThat(response.headers().firstValue("Server-Seal")).isPresent();
+  }
+
+  @Test
+  void unknownKeysAndPathsAreDeniedUnrun() throws Exception {
+    assertThat(send(request("/safe/a").setHeader("Authorization", "Bearer x")).statusCode())
+        .isEqualTo(401);
+    assertThat(send(request("/nowhere/a")).statusCode()).isEqualTo(404);
+    assertThat(ran("plain")).isZero();
+  }
+
+  @Test
+  void aCallThatMayRunOnceIsNotRepeatedWhenItsAnswerIsLost() throws Exception {
+    behave("plain", Behaviour.LOSE_ANSWER);
+
+    HttpResponse<String> response =
+        send(request("/once/a").POST(HttpRequest.BodyPublishers.ofString("defect")));
+
+    assertThat(response.statusCode()).isEqualTo(502);
+    assertThat(ran("plain")).isEqualTo(1);
+  }
+
+  @Test
+  void aCallThatMayRunOnceIsRefusedOnlyIfItDidNotRun() throws Exception {
+    behave("plain", Behaviour.REFUSE);
+
+    HttpResponse<String> response =
+        send(request("/once/a").POST(HttpRequest.BodyPublishers.ofString("defect")));
+
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(response.headers().firstValue("Retry-After")).isPresent();
+    assertThat(ran("plain")).isZero();
+  }
+
+  @Test
+  void anIdempotentCallGoesToAnotherReplicaWhenOneFails() throws Exception {
+    replicas.get(0).behave(Behaviour.FAIL);
+    replicas.get(2).behave(Behaviour.FAIL);
+    HttpResponse<String> failed = send(request("/safe/a"));
+    assertThat(failed.statusCode()).isEqualTo(500);
+    assertThat(failed.body()).isEqualTo("fail");
+    assertThat(ran("plain")).isEqualTo(2);
+
+    replicas.get(2).behave(Behaviour.ANSWER);
+    assertThat(send(request("/safe/b")).statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void aStreamThatMayBeResumedGoesOnElsewhereWithEachEventOnce() throws Exception {
+    replicas.get(1).behave(Behaviour.CUT_STREAM);
+    replicas.get(3).behave(Behaviour.CUT_STREAM);
+    CompletableFuture<HttpResponse<String>> response =
+        client.sendAsync(generation("/stream/a").build(), HttpResponse.BodyHandlers.ofString());
+
+    HttpResponse<String> whole = response.get();
+
+    assertThat(whole.statusCode()).isEqualTo(200);
+    assertThat(whole.body()).isEqualTo(events(1, ReplicaFake.EVENTS));
+    List<ReplicaFake.Ran> runs = of("engines").flatMap(r -> r.ran().stream()).toList();
+    assertThat(runs).hasSize(2);
+    assertThat(runs)
+        .anySatisfy(ran -> assertThat(ran.fields()).containsEntry("last-event-id", "2"));
+  }
+
+  @Test
+  void aStreamThatMayNotBeResumedIsCutAndDoesNotLookWhole() {
+    behave("engines", Behaviour.CUT_STREAM);
+
+    CompletableFuture<HttpResponse<String>> response =
+        client.sendAsync(generation("/note/a").build(), HttpResponse.BodyHandlers.ofString());
+
+    assertThat(response).failsWithin(Duration.ofSeconds(60));
+    assertThat(ran("engines")).isEqualTo(1);
+  }
+
+  @Test
+  void aDrainingReplicaGetsNoNewCalls() throws Exception {
+    store.put("servers", "p0", replicas.get(0).entry("plain", "draining"));
+    await(
+        () -> {
+          int before = replicas.get(0).ran().size();
+          for (int i = 0; i < 6; i++) {
+            status(request("/safe/a"));
+          }
+          return replicas.get(0).ran().size() == before;
+        });
+
+    store.put("servers", "p0", replicas.get(0).entry("plain", "ready"));
+    store.put("servers", "p9", "{\"service\":\"plain\",\"address\":7}");
+    int before = replicas.get(0).ran().size();
+    for (int i = 0; i < 20; i++) {
+      assertThat(status(request("/safe/b"))).isEqualTo(200);
+    }
+    assertThat(replicas.get(0).ran()).hasSize(before);
+  }
+
+  @Test
+  void aRevokedKeyIsDeniedAndNoneIsHonouredWithoutNews() throws Exception {
+    gateway.stop();
+    start(2_000);
+    configure(2, "\"other\"");
+    await(() -> status(request("/safe/a")) == 401);
+    assertThat(status(request("/safe/a").setHeader("Authorization", "Bearer other")))
+        .isEqualTo(200);
+
+    store.setDown(true);
+    await(() -> status(request("/safe/a").setHeader("Authorization", "Bearer other")) == 503);
+    assertThat(isReady()).isFalse();
+
+    store.setDown(false);
+    await(this::isReady);
+    assertThat(status(request("/safe/a").setHeader("Authorization", "Bearer other")))
+        .isEqualTo(200);
+  }
+
+  @Test
+  void aLostHistoryIsListedAnew() throws Exception {
+    store.dropHistory();
+    configure(2, "\"other\"");
+    store.dropHistory();
+
+    await(() -> status(request("/safe/a")) == 401);
+  }
+
+  @Test
+  void newWeightsReachEveryEngineOnceUnderGrowingFences() throws Exception {
+    store.loseAnswers(1);
+    store.put("versions", "m0", "{\"model\":\"m0\",\"version\":2}");
+
+    await(() -> of("engines").allMatch(engine -> engine.orders().size() == 1));
+    await(() -> store.content("order-leases", "m0").path("released").asBoolean());
+
+    assertThat(of("engines").flatMap(engine -> engine.orders().stream()))
+        .allSatisfy(order -> assertThat(order).contains("\"version\":2", "\"expected\":0"));
+    assertThat(send(generation("/stream/a")).statusCode()).isEqualTo(200);
+    ReplicaFake.Ran ran = of("engines").flatMap(r -> r.ran().stream()).findFirst().orElseThrow();
+    assertThat(ran.fields()).containsEntry("expect-version", "2");
+    assertThat(ran.fields().get("cache-salt")).startsWith("m0/2/");
+  }
+
+  @Test
+  void aLeavingInstanceEndsWhatItBegan() throws Exception {
+    behave("engines", Behaviour.HOLD_STREAM);
+    CompletableFuture<HttpResponse<String>> response =
+        client.sendAsync(generation("/note/a").build(), HttpResponse.BodyHandlers.ofString());
+    await(() -> ran("engines") == 1);
+    Thread leaving = Thread.ofVirtual().start(gateway::shutDown);
+    await(() -> !isReady());
+
+    replicas.forEach(ReplicaFake::release);
+
+    assertThat(response.get().body()).isEqualTo(events(1, ReplicaFake.EVENTS));
+    leaving.join();
+  }
+}
