Counters and latency histograms on the metrics address; reading again weighs double

Cause: on-call engineers had logs only; and reading a shared part again costs more than a late answer. Change: outcomes, times to first event and to the end, fetched and shared read tokens, age of the configuration; SHARED_READ_MILLIS 0.06 -> 0.12.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -16,6 +16,7 @@
 import org.bulrushpier.daemon.net.AnswerHead;
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.InboundRequest;
+import org.bulrushpier.daemon.net.Outbound;
 import org.bulrushpier.placing.CachePlanner;
 import org.bulrushpier.placing.CacheSalt;
 import org.bulrushpier.placing.Placement;
@@ -26,6 +27,7 @@
 import org.bulrushpier.site.KeyHolder;
 import org.bulrushpier.site.RouteKind;
 import org.bulrushpier.site.Service;
+import org.bulrushpier.stream.EventSplitter;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -219,7 +221,7 @@
     }
     if (caller.isAnswerStarted()) {
       tables.log().event("cut", "request", request.id(), "reason", "timeout");
-      finish();
+      finish("cut");
       caller.abort();
     } else if (mayHaveRun) {
       fail(504, "no answer in time");
@@ -234,7 +236,7 @@
       attempt.cancel("caller left");
     }
     tables.log().event("left", "request", request.id(), "afterMs", age());
-    finish();
+    finish("left");
   }
 
   private long age() {
@@ -248,7 +250,7 @@
   private void giveUp(String reason, long retryAfterMillis) {
     if (caller.isAnswerStarted()) {
       tables.log().event("cut", "request", request.id(), "reason", reason);
-      finish();
+      finish("cut");
       caller.abort();
     } else if (mayHaveRun) {
       fail(502, reason);
@@ -270,7 +272,7 @@
             age(),
             "retryAfterMs",
             retryAfterMillis);
-    own(503, reason, retryAfterMillis);
+    own("refused", 503, reason, retryAfterMillis);
   }
 
   private void deny(int status, String reason, Configuration configuration) {
@@ -288,7 +290,7 @@
             configuration.version(),
             "ageMs",
             tables.configuration().ageMillis(Moment.now()));
-    own(status, reason, -1);
+    own("denied", status, reason, -1);
   }
 
   private void fail(int status, String reason) {
@@ -306,18 +308,19 @@
             sends,
             "afterMs",
             age());
-    own(status, reason, -1);
+    own("failed", status, reason, -1);
   }
 
-  private void own(int status, String reason, long retryAfterMillis) {
-    finish();
+  private void own(String outcome, int status, String reason, long retryAfterMillis) {
+    finish(outcome);
     HttpFields fields = CallFormat.own(request.id(), reason, retryAfterMillis);
     caller.answer(status, fields, new byte[0]);
   }
 
-  private void finish() {
+  private void finish(String outcome) {
     isDone = true;
     attempt = null;
+    tables.metrics().outcome(outcome);
   }
 
   /** Sends the call once more if that is allowed, and otherwise gives the final answer. */
@@ -330,14 +333,13 @@
   }
 
   /** One send of the call to a replica. */
-  private final class Attempt implements org.bulrushpier.daemon.net.Outbound.Listener {
+  private final class Attempt implements Outbound.Listener {
 
     private final Replica replica;
     private final Placement.Send placed;
-    private final org.bulrushpier.stream.EventSplitter splitter =
-        new org.bulrushpier.stream.EventSplitter();
+    private final EventSplitter splitter = new EventSplitter();
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
-    private org.bulrushpier.daemon.net.Outbound outbound;
+    private Outbound outbound;
     private Replica.Work work;
     private AnswerHead head;
     private UpstreamAnswer answer;
@@ -398,6 +400,8 @@
               replica.entry().id(),
               "uncached",
               uncached,
+              "sharedRead",
+              placed.cache().sharedReadTokens(),
               "fetched",
               placed.cache().fetchedTokens(),
               "expectedMs",
@@ -406,9 +410,8 @@
               replica.own(),
               "toldWaiting",
               replica.told().waiting());
-      outbound =
-          org.bulrushpier.daemon.net.Outbound.of(
-              inbound.method(), inbound.target(), fields, inbound.body(), this);
+      tables.metrics().placed(placed.cache().sharedReadTokens(), placed.cache().fetchedTokens());
+      outbound = Outbound.of(inbound.method(), inbound.target(), fields, inbound.body(), this);
       tables.upstreams().send(replica.entry().address(), outbound, maxIdle);
     }
 
@@ -497,6 +500,7 @@
       lastProgressMillis = Steady.millis();
       if (!isStreaming) {
         isStreaming = true;
+        tables.metrics().firstEvent(age());
         caller.start(head.status(), CallFormat.answered(head.fields()), -1);
       }
     }
@@ -590,7 +594,8 @@
       tables
           .log()
           .event("answered", "request", request.id(), "status", head.status(), "afterMs", age());
-      finish();
+      tables.metrics().answered(age());
+      finish("answered");
       caller.complete();
     }
 
@@ -607,7 +612,8 @@
               head.status(),
               "afterMs",
               age());
-      finish();
+      tables.metrics().answered(age());
+      finish("answered");
       caller.answer(head.status(), CallFormat.answered(head.fields()), buffer.toByteArray());
     }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -1,13 +1,12 @@
 package org.bulrushpier.daemon.serve;
 
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.bulrushpier.Hash;
 import org.bulrushpier.Moment;
 import org.bulrushpier.Steady;
 import org.bulrushpier.adapter.CallFormat;
@@ -61,8 +60,6 @@
 
   private volatile GatewaySettings settings;
   private final NetLoop loop = NetLoop.start();
-  private final PrometheusMeterRegistry registry =
-      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Tables tables;
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final Set<CallerConnection> connections = new HashSet<>();
@@ -74,7 +71,7 @@
 
   private Gateway(GatewaySettings settings) {
     this.settings = settings;
-    tables = new Tables(loop, () -> this.settings, registry);
+    tables = new Tables(loop, () -> this.settings);
     rollouts = new RolloutKeeper(tables);
     cacheEvents = new CacheEvents(tables);
   }
@@ -90,12 +87,26 @@
     Gateway gateway = new Gateway(settings);
     gateway.loop.listen(settings.readyAddress(), gateway.new Readiness());
     gateway.loop.listen(settings.callerAddress(), gateway.new Callers());
+    gateway.loop.listen(settings.metricsAddress(), gateway.new Metrics());
     gateway.loop.run(gateway::follow);
     return gateway;
   }
 
   private void follow() {
     tables.log().event("started", "instance", settings.name(), "domain", settings.domain());
+    tables.metrics().gauge("bulrushpier.requests.running", "Requests under way", exchanges::size);
+    tables
+        .metrics()
+        .gauge(
+            "bulrushpier.configuration.age.ms",
+            "Age of the proof that the configuration is the newest",
+            () -> tables.configuration().ageMillis(Moment.now()));
+    tables
+        .metrics()
+        .gauge(
+            "bulrushpier.upstream.connections.opened",
+            "Connections opened to upstreams since the start",
+            () -> tables.upstreams().opened());
     watch(StoreFormat.CONFIGURATIONS, new Configurations());
     watch(StoreFormat.REPLICAS, new Registry());
     watch(StoreFormat.WEIGHTS, new Weights());
@@ -213,6 +224,15 @@
     }
   }
 
+  /** Serves the metrics. */
+  private final class Metrics implements CallerConnection.Handler {
+    @Override
+    public void requested(CallerConnection connection, InboundRequest request) {
+      HttpFields fields = HttpFields.build().add("Content-Type", "text/plain; version=0.0.4");
+      connection.answer(200, fields, Hash.utf8(tables.metrics().scrape()));
+    }
+  }
+
   /** Takes callers' requests. */
   private final class Callers implements CallerConnection.Handler {
 
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -0,0 +1,91 @@
+package org.bulrushpier.daemon.serve;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Counters and latency histograms of a gateway. Thread-safe.
+ *
+ * <p>The number of time series is bounded: outcomes are a fixed set, and routes are not labels.
+ */
+final class GatewayMetrics {
+
+  /** Bounds of the latency buckets: from a plain call's goal to the longest wait of a stream. */
+  private static final Duration[] BUCKETS = {
+    Duration.ofMillis(25),
+    Duration.ofMillis(50),
+    Duration.ofMillis(100),
+    Duration.ofMillis(200),
+    Duration.ofMillis(400),
+    Duration.ofMillis(600),
+    Duration.ofMillis(1_000),
+    Duration.ofMillis(2_000),
+    Duration.ofMillis(5_000),
+    Duration.ofMillis(15_000)
+  };
+
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Map<String, Counter> outcomes = new HashMap<>();
+  private final Timer answers = timer("bulrushpier.answer", "Time to the end of an answer");
+  private final Timer firstEvents =
+      timer("bulrushpier.first.event", "Time to the first event of a stream");
+  private final Counter sharedRead =
+      counter("bulrushpier.prompt.shared.read", "Shared prompt tokens that an engine has to read");
+  private final Counter fetched =
+      counter("bulrushpier.prompt.fetched", "Prompt tokens fetched from stores");
+
+  private Timer timer(String name, String description) {
+    return Timer.builder(name)
+        .description(description)
+        .serviceLevelObjectives(BUCKETS)
+        .register(registry);
+  }
+
+  private Counter counter(String name, String description) {
+    return Counter.builder(name).description(description).register(registry);
+  }
+
+  /** Shows a number that is read when metrics are asked for. */
+  void gauge(String name, String description, Supplier<Number> value) {
+    Gauge.builder(name, value).description(description).register(registry);
+  }
+
+  /** Counts how a request ended: answered, refused, denied, failed, cut or left. */
+  void outcome(String outcome) {
+    outcomes
+        .computeIfAbsent(
+            outcome,
+            name ->
+                Counter.builder("bulrushpier.requests")
+                    .description("Requests by how they ended")
+                    .tag("outcome", name)
+                    .register(registry))
+        .increment();
+  }
+
+  void answered(long millis) {
+    answers.record(Duration.ofMillis(millis));
+  }
+
+  void firstEvent(long millis) {
+    firstEvents.record(Duration.ofMillis(millis));
+  }
+
+  void placed(int sharedReadTokens, int fetchedTokens) {
+    sharedRead.increment(sharedReadTokens);
+    fetched.increment(fetchedTokens);
+  }
+
+  /** Writes all metrics as text. */
+  String scrape() {
+    return registry.scrape();
+  }
+}
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
@@ -1,6 +1,5 @@
 package org.bulrushpier.daemon.serve;
 
-import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -37,7 +36,7 @@
 
   private final NetLoop loop;
   private final Supplier<GatewaySettings> settings;
-  private final MeterRegistry registry;
+  private final GatewayMetrics metrics = new GatewayMetrics();
   private final ConfigurationBelief configuration = new ConfigurationBelief();
   private final ReplicaTable replicas = new ReplicaTable();
   private final WantedWeights weights = new WantedWeights();
@@ -52,10 +51,9 @@
   private final EventLog log = new EventLog();
   private final Map<String, RetryAllowance> allowances = new HashMap<>();
 
-  Tables(NetLoop loop, Supplier<GatewaySettings> settings, MeterRegistry registry) {
+  Tables(NetLoop loop, Supplier<GatewaySettings> settings) {
     this.loop = loop;
     this.settings = settings;
-    this.registry = registry;
     engines = EnginePlacement.of(settings.get().domain(), readingRate);
     plain = PlainPlacement.of(settings.get().domain());
     upstreams = ConnectionPool.of(loop, IDLE_MILLIS);
@@ -71,8 +69,8 @@
     return settings.get();
   }
 
-  MeterRegistry registry() {
-    return registry;
+  GatewayMetrics metrics() {
+    return metrics;
   }
 
   ConfigurationBelief configuration() {
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -36,7 +36,7 @@
   private static final int OTHER_TOKENS = 1_500;
 
   /** What reading a shared token again costs besides its time, in milliseconds of waiting. */
-  private static final double SHARED_READ_MILLIS = 0.06;
+  private static final double SHARED_READ_MILLIS = 0.12;
 
   /** The wait for memory to come free, in milliseconds: about one generation. */
   private static final double MEMORY_WAIT_MILLIS = 400;
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -337,6 +337,20 @@
     assertThat(ran.fields().get("cache-salt")).startsWith("m0/2/");
   }
 
+  @Test
+  void metricsCountHowRequestsEnded() throws Exception {
+    assertThat(send(request("/safe/a")).statusCode()).isEqualTo(200);
+    assertThat(send(request("/nowhere/a")).statusCode()).isEqualTo(404);
+
+    HttpResponse<String> metrics =
+        send(HttpRequest.newBuilder(URI.create("http://" + settings.metricsAddress() + "/")));
+
+    assertThat(metrics.body())
+        .contains("bulrushpier_requests_total{outcome=\"answered\"} 1.0")
+        .contains("bulrushpier_requests_total{outcome=\"denied\"} 1.0")
+        .contains("bulrushpier_answer_seconds_bucket");
+  }
+
   @Test
   void aLeavingInstanceEndsWhatItBegan() throws Exception {
     behave("engines", Behaviour.HOLD_STREAM);
