--- a/library/src/main/java/org/bulrushpier/placing/CachePlanner.java
+++ b/library/src/main/java/org/bulrushpier/placing/CachePlanner.java
@@ -152,7 +152,7 @@
   private static Optional<CacheStoreState> roomiest(
       PromptPart part, String domain, Collection<CacheStoreState> stores, long nowMillis) {
     return stores.stream()
-        .filter(store -> store.isLive(nowMillis) && store.hasRoom(part.tokens()))
+        .filter(store -> store.isLive(nowMillis) && store.hasRoom(part.tokens(), nowMillis))
         .min(
             Comparator.comparing((CacheStoreState store) -> !store.store().domain().equals(domain))
                 .thenComparing(store -> -store.freeTokens()));
--- a/library/src/main/java/org/bulrushpier/placing/CacheStoreState.java
+++ b/library/src/main/java/org/bulrushpier/placing/CacheStoreState.java
@@ -20,12 +20,22 @@
   /** How long a save may take before it is tried again, in milliseconds. */
   private static final long SAVE_MILLIS = 3_000;
 
+  /** Instances assumed to save as much as this one at the same time: those of a site today. */
+  private static final int SAVING_INSTANCES = 4;
+
   private final Service.CacheStore store;
   private final PartMemory parts = new PartMemory();
-  private final Map<String, Long> saving = new HashMap<>();
+  private final Map<String, Saving> saving = new HashMap<>();
   private long epoch = -1;
   private long reportedMillis = Long.MIN_VALUE / 2;
 
+  /** A part on its way. */
+  private record Saving(int tokens, long sinceMillis) {
+    boolean isUnderWay(long nowMillis) {
+      return nowMillis - sinceMillis < SAVE_MILLIS;
+    }
+  }
+
   /**
    * Creates the state of a store of which nothing is known.
    *
@@ -109,8 +119,8 @@
    * @return true if it need not be saved
    */
   public boolean hasOrSaves(String salt, PromptPart part, long nowMillis) {
-    Long since = saving.get(salt + " " + part.id());
-    return has(salt, part) || (since != null && nowMillis - since < SAVE_MILLIS);
+    Saving save = saving.get(salt + " " + part.id());
+    return has(salt, part) || (save != null && save.isUnderWay(nowMillis));
   }
 
   /**
@@ -121,17 +131,20 @@
    * @param nowMillis the steady time
    */
   public void saves(String salt, PromptPart part, long nowMillis) {
-    saving.put(salt + " " + part.id(), nowMillis);
+    saving.put(salt + " " + part.id(), new Saving(part.tokens(), nowMillis));
   }
 
   /**
-   * Tells whether tokens still fit.
+   * Tells whether tokens still fit beside the saves under way, those of other instances included.
    *
    * @param tokens the tokens
+   * @param nowMillis the steady time
    * @return true if there is room
    */
-  public boolean hasRoom(int tokens) {
-    return parts.total() + tokens <= store.memoryTokens();
+  public boolean hasRoom(int tokens, long nowMillis) {
+    saving.values().removeIf(save -> !save.isUnderWay(nowMillis));
+    long own = saving.values().stream().mapToLong(Saving::tokens).sum();
+    return parts.total() + SAVING_INSTANCES * own + tokens <= store.memoryTokens();
   }
 
   /**
--- a/library/src/test/java/org/bulrushpier/placing/CachePlannerTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/CachePlannerTest.java
@@ -132,6 +132,18 @@
     assertThat(targets.get(0)).isEqualTo(far.store().address().toString());
   }
 
+  @Test
+  void savesUnderWayTakeRoomAlsoThoseOfOtherInstances() {
+    CacheStoreState store = Engines.store("small", "norte", 30_000);
+    store.reported(1, NOW);
+    assertThat(store.hasRoom(5_000, NOW)).isTrue();
+
+    store.saves(SALT, new PromptPart("x", 6_500), NOW);
+
+    assertThat(store.hasRoom(5_000, NOW)).isFalse();
+    assertThat(store.hasRoom(5_000, NOW + 10_000)).isTrue();
+  }
+
   @Test
   void saltsOfOlderWeightsAreRecognised() {
     assertThat(CacheSalt.isOlder(SALT, "m", 2)).isTrue();
