--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -76,7 +76,7 @@
   }
 
   @Test
-  void aCallerThatLeavesWhileItsRequestIsHandledIsNoticed() throws Exception {
+  void callerThatLeavesWhileItsRequestIsHandledIsNoticed() throws Exception {
     Socket socket = connect();
     RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
     assertThat(next().target()).isEqualTo("/a");
@@ -117,7 +117,7 @@
   }
 
   @Test
-  void aRequestThatHidesAnotherIsRefused() throws Exception {
+  void requestThatHidesAnotherIsRefused() throws Exception {
     String[] smuggled = {
       "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
           + "0\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
@@ -170,7 +170,7 @@
   }
 
   @Test
-  void aCallerThatAsksForTheEndGetsIt() throws Exception {
+  void callerThatAsksForTheEndGetsIt() throws Exception {
     try (Socket socket = connect()) {
       RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
       next();
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/ReplicaConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/ReplicaConnectionTest.java
@@ -94,7 +94,7 @@
   }
 
   @Test
-  void bytesAfterACompleteAnswerCloseTheConnectionAndBelongToNobody() throws Exception {
+  void bytesAfterCompleteAnswerCloseTheConnectionAndBelongToNobody() throws Exception {
     CompletableFuture<Void> ended = new CompletableFuture<>();
     try (RawServer server =
         new RawServer(
@@ -172,7 +172,7 @@
   }
 
   @Test
-  void aConnectionIsReusedUnlessThePeerEndsIt() throws Exception {
+  void connectionIsReusedUnlessThePeerEndsIt() throws Exception {
     try (RawServer server =
         new RawServer(
             socket -> {
@@ -209,7 +209,7 @@
   }
 
   @Test
-  void aRefusedConnectionMeansThatNothingWasSent() throws Exception {
+  void refusedConnectionMeansThatNothingWasSent() throws Exception {
     RawServer server = new RawServer();
     Address address = server.address();
     server.close();
@@ -221,7 +221,7 @@
   }
 
   @Test
-  void aCancelledRequestEndsItsConnection() throws Exception {
+  void cancelledRequestEndsItsConnection() throws Exception {
     CompletableFuture<Void> received = new CompletableFuture<>();
     CompletableFuture<Void> ended = new CompletableFuture<>();
     try (RawServer server =
--- a/library/src/test/java/org/bulrushpier/placing/CachePlannerTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/CachePlannerTest.java
@@ -41,7 +41,7 @@
   }
 
   @Test
-  void aPartThatIsWholeInAStoreIsFetchedFromTheNearestOne() {
+  void partThatIsWholeInStoreIsFetchedFromTheNearestOne() {
     near.reported(1, NOW);
     far.reported(1, NOW);
     engine.parts().put(SALT, "system", 2_500);
@@ -58,7 +58,7 @@
   }
 
   @Test
-  void nothingIsFetchedBehindAPartThatMustBeRead() {
+  void nothingIsFetchedBehindPartThatMustBeRead() {
     near.reported(1, NOW);
     near.holds(SALT, "session", 5_000);
 
@@ -69,7 +69,7 @@
   }
 
   @Test
-  void aPartIsNotFetchedWhileItIsBeingSaved() {
+  void partIsNotFetchedWhileItIsBeingSaved() {
     near.reported(1, NOW);
     near.saves(SALT, prompt.parts().get(0), NOW);
 
@@ -80,7 +80,7 @@
   }
 
   @Test
-  void aPartThatIsPartlyThereIsNotFetched() {
+  void partThatIsPartlyThereIsNotFetched() {
     near.reported(1, NOW);
     near.holds(SALT, "system", 1_200);
 
@@ -88,7 +88,7 @@
   }
 
   @Test
-  void aStoreThatRestartedOrFellSilentIsNotUsed() {
+  void storeThatRestartedOrFellSilentIsNotUsed() {
     near.reported(1, NOW);
     near.holds(SALT, "system", 2_500);
     near.reported(2, NOW);
@@ -122,7 +122,7 @@
   }
 
   @Test
-  void aStoreWithoutRoomIsPassedOver() {
+  void storeWithoutRoomIsPassedOver() {
     CacheStoreState small = Engines.store("small", "norte", 1_000);
     small.reported(1, NOW);
     far.reported(1, NOW);
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -61,7 +61,7 @@
   }
 
   @Test
-  void aSessionReturnsToTheEngineThatKeepsIt() {
+  void sessionReturnsToTheEngineThatKeepsIt() {
     PromptShape prompt = prompt("s", 8_000);
     engines.get(4).parts().put(new CacheSalt("m", 1, "").text(), "s", 7_500);
 
@@ -89,7 +89,7 @@
   }
 
   @Test
-  void aBurstOfLongPromptsSpreadsOverAllEngines() {
+  void burstOfLongPromptsSpreadsOverAllEngines() {
     for (int i = 0; i < 18; i++) {
       PromptShape prompt = prompt("s" + i, 8_000);
       Placement.Send send = (Placement.Send) choose(prompt, ANY, Set.of(), 60_000);
@@ -100,7 +100,7 @@
   }
 
   @Test
-  void aCallThatCannotBeginInTimeIsRefusedAtOnceWithTheTimeOfRoom() {
+  void callThatCannotBeginInTimeIsRefusedAtOnceWithTheTimeOfRoom() {
     for (Replica engine : engines) {
       for (int i = 0; i < 10; i++) {
         engine.begin("r" + i, new Replica.Work(8_000, 8_020, 0, NOW, NOW + 10_000));
--- a/library/src/test/java/org/bulrushpier/placing/PlainPlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlainPlacementTest.java
@@ -34,7 +34,7 @@
   }
 
   @Test
-  void aReplicaWithALateCallIsAvoidedBeforeItsBreakerOpens() {
+  void replicaWithLateCallIsAvoidedBeforeItsBreakerOpens() {
     near.begin("late", new Replica.Work(0, 0, 0, NOW - 400, NOW - 100));
     for (int i = 0; i < 4; i++) {
       far.begin("r" + i, new Replica.Work(0, 0, 0, NOW, NOW + 200));
@@ -44,7 +44,7 @@
   }
 
   @Test
-  void aReplicaThatFailsPartOfItsCallsIsAvoided() {
+  void replicaThatFailsPartOfItsCallsIsAvoided() {
     for (int i = 0; i < 20; i++) {
       near.outcome(i % 2 == 0, NOW);
     }
--- a/library/src/test/java/org/bulrushpier/replica/ReplicaTableTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ReplicaTableTest.java
@@ -27,7 +27,7 @@
   }
 
   @Test
-  void drainingIsFinalWithinALife() {
+  void drainingIsFinalWithinLife() {
     table.put(entry("a", 7, false));
     assertThat(table.put(entry("a", 7, true))).isEqualTo(Change.DRAINING);
 
@@ -37,7 +37,7 @@
   }
 
   @Test
-  void aNewLifeUnderAnOldIdStartsAfresh() {
+  void newLifeUnderAnOldIdStartsAfresh() {
     table.put(entry("a", 7, true));
     Replica first = table.find("a");
 
@@ -66,7 +66,7 @@
   }
 
   @Test
-  void aRemovedEntryMeansLeavingWhileTheStoreIsWell() {
+  void removedEntryMeansLeavingWhileTheStoreIsWell() {
     table.put(entry("a", 7, false));
     Replica replica = table.find("a");
 
@@ -93,7 +93,7 @@
   }
 
   @Test
-  void aDrainingReplicaThatLapsesIsNotWaitedFor() {
+  void drainingReplicaThatLapsesIsNotWaitedFor() {
     table.put(entry("a", 7, true));
     table.storeAway();
     table.storeBack(NOW);
--- a/library/src/test/java/org/bulrushpier/rollout/OrderLeaseTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/OrderLeaseTest.java
@@ -24,7 +24,7 @@
   }
 
   @Test
-  void ordersAreGivenOnlyShortlyAfterAWrite() {
+  void ordersAreGivenOnlyShortlyAfterWrite() {
     OrderLease lease = OrderLease.of("a", TURN);
     assertThat(lease.mayOrder(at(0))).isFalse();
 
@@ -36,7 +36,7 @@
   }
 
   @Test
-  void aSuspensionEndsTheRightToOrder() {
+  void suspensionEndsTheRightToOrder() {
     OrderLease lease = OrderLease.of("a", TURN);
     lease.wrote(record("a", false), 10, at(1_000));
 
@@ -44,7 +44,7 @@
   }
 
   @Test
-  void renewalsKeepTheFenceAndALaterTenureHasALargerOne() {
+  void renewalsKeepTheFenceAndLaterTenureHasLargerOne() {
     OrderLease lease = OrderLease.of("a", TURN);
     lease.wrote(record("a", false), 10, at(1_000));
     lease.wrote(record("a", false), 14, at(1_300));
@@ -58,7 +58,7 @@
   }
 
   @Test
-  void aReleasedLeaseIsTakenAfterTheTurnTimeOnly() {
+  void releasedLeaseIsTakenAfterTheTurnTimeOnly() {
     OrderLease lease = OrderLease.of("a", TURN);
     lease.observed(record("b", true), 10, at(1_000));
 
@@ -81,7 +81,7 @@
    * be late; whatever happens, orders of different holders are a turn apart.
    */
   @Property
-  void ordersOfTwoHoldersAreATurnApart(
+  void ordersOfTwoHoldersAreTurnApart(
       @ForAll @Size(max = 200) List<@IntRange(max = 5) Integer> actions,
       @ForAll @Size(min = 200, max = 200) List<@IntRange(max = 900) Integer> pauses) {
     OrderLease[] leases = {OrderLease.of("0", TURN), OrderLease.of("1", TURN)};
--- a/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
@@ -30,7 +30,7 @@
   }
 
   @Test
-  void aShareOfTheEnginesChangesAtATime() {
+  void shareOfTheEnginesChangesAtTime() {
     List<Replica> first = RolloutPlan.next("m", 2, engines, Set.of());
     assertThat(first).hasSize(4);
 
--- a/library/src/test/java/org/bulrushpier/stream/EventSplitterTest.java
+++ b/library/src/test/java/org/bulrushpier/stream/EventSplitterTest.java
@@ -48,7 +48,7 @@
   }
 
   @Example
-  void aPartOfAnEventIsHeldBackAndForgottenOnReset() {
+  void partOfAnEventIsHeldBackAndForgottenOnReset() {
     EventSplitter splitter = new EventSplitter();
     feed(splitter, "id: 1\ndata: a\n\nid: 2\nda");
 
@@ -61,7 +61,7 @@
   }
 
   @Example
-  void anEventWithoutANumberHasNoId() {
+  void anEventWithoutNumberHasNoId() {
     EventSplitter splitter = new EventSplitter();
     feed(splitter, "data: a\n\nid: x\ndata: b\n\n");
 
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -121,11 +121,9 @@
    * @return the entry as JSON
    */
   public synchronized String entry(String service, String state) {
-    return """
-        {"service":"%s","address":"%s","zone":"norte","version":"v1","slots":6,"state":"%s",
-         "cold_left_ms":0,"seq":1,"born":1700000000000,
-         "models":[{"name":"m0","version":%d,"adapters":[]}]}
-        """
+    return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"norte\",\"version\":\"v1\","
+            + "\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":1700000000000,"
+            + "\"models\":[{\"name\":\"m0\",\"version\":%d,\"adapters\":[]}]}")
         .formatted(service, address(), state, version);
   }
 
@@ -139,10 +137,9 @@
   }
 
   private synchronized String report() {
-    return """
-        {"stage":"colocated","models":[{"name":"m0","version":%d,"adapters":[]}],"busy":false,
-         "seq":%d,"queued":0,"running":0,"kv_used":0,"kv_total":50000,"handles":0}
-        """
+    return ("{\"stage\":\"colocated\",\"models\":[{\"name\":\"m0\",\"version\":%d}],"
+            + "\"busy\":false,\"seq\":%d,\"queued\":0,\"running\":0,"
+            + "\"kv_used\":0,\"kv_total\":50000,\"handles\":0}")
         .formatted(version, orders.size());
   }
 
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -179,7 +179,7 @@
   }
 
   @Test
-  void aCallIsForwardedWithWhatOnlyTheSystemSets() throws Exception {
+  void callIsForwardedWithWhatOnlyTheSystemSets() throws Exception {
     HttpResponse<String> response =
         send(
             request("/safe/a/b?x=%20y")
@@ -209,7 +209,7 @@
   }
 
   @Test
-  void aCallThatMayRunOnceIsNotRepeatedWhenItsAnswerIsLost() throws Exception {
+  void callThatMayRunOnceIsNotRepeatedWhenItsAnswerIsLost() throws Exception {
     behave("plain", Behaviour.LOSE_ANSWER);
 
     HttpResponse<String> response =
@@ -220,7 +220,7 @@
   }
 
   @Test
-  void aCallThatMayRunOnceIsRefusedOnlyIfItDidNotRun() throws Exception {
+  void callThatMayRunOnceIsRefusedOnlyIfItDidNotRun() throws Exception {
     behave("plain", Behaviour.REFUSE);
 
     HttpResponse<String> response =
@@ -245,7 +245,7 @@
   }
 
   @Test
-  void aStreamThatMayBeResumedGoesOnElsewhereWithEachEventOnce() throws Exception {
+  void streamThatMayBeResumedGoesOnElsewhereWithEachEventOnce() throws Exception {
     replicas.get(1).behave(Behaviour.CUT_STREAM);
     replicas.get(3).behave(Behaviour.CUT_STREAM);
     CompletableFuture<HttpResponse<String>> response =
@@ -262,7 +262,7 @@
   }
 
   @Test
-  void aStreamThatMayNotBeResumedIsCutAndDoesNotLookWhole() {
+  void streamThatMayNotBeResumedIsCutAndDoesNotLookWhole() {
     behave("engines", Behaviour.CUT_STREAM);
 
     CompletableFuture<HttpResponse<String>> response =
@@ -273,7 +273,7 @@
   }
 
   @Test
-  void aDrainingReplicaGetsNoNewCalls() throws Exception {
+  void drainingReplicaGetsNoNewCalls() throws Exception {
     store.put("servers", "p0", replicas.get(0).entry("plain", "draining"));
     await(
         () -> {
@@ -294,7 +294,7 @@
   }
 
   @Test
-  void aRevokedKeyIsDeniedAndNoneIsHonouredWithoutNews() throws Exception {
+  void revokedKeyIsDeniedAndNoneIsHonouredWithoutNews() throws Exception {
     gateway.stop();
     start(2_000);
     configure(2, "\"other\"");
@@ -313,7 +313,7 @@
   }
 
   @Test
-  void aLostHistoryIsListedAnew() throws Exception {
+  void lostHistoryIsListedAnew() throws Exception {
     store.dropHistory();
     configure(2, "\"other\"");
     store.dropHistory();
@@ -352,12 +352,12 @@
   }
 
   @Test
-  void aLeavingInstanceEndsWhatItBegan() throws Exception {
+  void leavingInstanceEndsWhatItBegan() throws Exception {
     behave("engines", Behaviour.HOLD_STREAM);
-    CompletableFuture<HttpResponse<String>> response =
+    final CompletableFuture<HttpResponse<String>> response =
         client.sendAsync(generation("/note/a").build(), HttpResponse.BodyHandlers.ofString());
     await(() -> ran("engines") == 1);
-    Thread leaving = Thread.ofVirtual().start(gateway::shutDown);
+    final Thread leaving = Thread.ofVirtual().start(gateway::shutDown);
     await(() -> !isReady());
 
     replicas.forEach(ReplicaFake::release);
