--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -146,7 +146,12 @@
     }
   }
 
-  final boolean isClosed() {
+  /**
+   * Tells whether the connection is over.
+   *
+   * @return true once either side has ended it
+   */
+  public final boolean isClosed() {
     return isClosed;
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
@@ -209,9 +208,4 @@
       tables.loop().after(pause, this::poll);
     }
   }
-
-  /** The holders that are followed, for tests. */
-  List<String> followed() {
-    return List.copyOf(followed);
-  }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -154,6 +154,7 @@
       exchange.tick(now);
     }
     exchanges.removeIf(Exchange::isDone);
+    connections.removeIf(CallerConnection::isClosed);
     tables.replicas().expire(now).forEach(id -> belief("replica-gone", id, "did not return"));
     cacheEvents.tick();
     if (!isLeaving) {
