One place for a request that was answered; dead state removed

Cause (read again): an answered request was logged and counted in two places, for streams without the replica that answered; an opening kept a connection that nobody read; an unused parameter. Change: one method serves both. Behaviour as before, but for the replica in the line of a stream.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ReplicaConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ReplicaConnection.java
@@ -50,13 +50,11 @@
     this.group = opening.group();
     this.parser = new HttpParser(new Responses(), MAX_HEAD_BYTES);
     this.idleMillis = group.idleMillis();
-    opening.connection = this;
   }
 
   /** A connection that is being opened. */
   static final class Opening {
     private final ConnectionPool.Group group;
-    private ReplicaConnection connection;
     private SocketChannel channel;
     private boolean isFailed;
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -15,6 +15,7 @@
 import org.bulrushpier.call.UpstreamAnswer;
 import org.bulrushpier.daemon.net.AnswerHead;
 import org.bulrushpier.daemon.net.CallerConnection;
+import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.InboundRequest;
 import org.bulrushpier.daemon.net.Outbound;
 import org.bulrushpier.placing.CachePlanner;
@@ -176,7 +177,7 @@
   private void send(Placement.Send placed, long left) {
     Replica replica = placed.replica();
     attempt = new Attempt(replica, placed);
-    long maxIdle = route.isRepeatable() ? Long.MAX_VALUE : ONCE_IDLE_MILLIS;
+    long maxIdle = route.isRepeatable() ? ConnectionPool.ANY_AGE : ONCE_IDLE_MILLIS;
     attempt.start(left, maxIdle);
   }
 
@@ -189,7 +190,7 @@
       timedOut();
     } else if (attempt != null && isSilent(nowMillis) && canRepeat()) {
       Attempt silent = attempt;
-      silent.silent(nowMillis);
+      silent.silent();
       place();
     }
   }
@@ -449,7 +450,7 @@
     }
 
     /** Gives a silent replica up. */
-    void silent(long nowMillis) {
+    void silent() {
       tried.add(replica.entry().id());
       cancel("silence");
     }
@@ -591,15 +592,16 @@
         lost("the stream ended in the middle of an event");
         return;
       }
-      tables
-          .log()
-          .event("answered", "request", request.id(), "status", head.status(), "afterMs", age());
-      tables.metrics().answered(age());
-      finish("answered");
+      answered();
       caller.complete();
     }
 
     private void forward() {
+      answered();
+      caller.answer(head.status(), CallFormat.answered(head.fields()), buffer.toByteArray());
+    }
+
+    private void answered() {
       tables
           .log()
           .event(
@@ -614,7 +616,6 @@
               age());
       tables.metrics().answered(age());
       finish("answered");
-      caller.answer(head.status(), CallFormat.answered(head.fields()), buffer.toByteArray());
     }
 
     @Override
