Stores are named as sources for parts that the engine is believed to keep

Engines drop parts under memory pressure and tell it late or never; a first part that is gone makes the fetch of all later ones useless, as parts count only in order. Ruled out: transfers that bind (as many moves on the calm variant, in time), compute alone. Change: a store is named for every part that it has; the engine fetches only what it lacks.

--- a/library/src/main/java/org/bulrushpier/placing/CachePlanner.java
+++ b/library/src/main/java/org/bulrushpier/placing/CachePlanner.java
@@ -16,7 +16,8 @@
  * <p>The load it answers: sessions that return after their parts have left the engines' memory.
  * Moving a part costs a fraction of reading it, so every shared part that is whole in some store is
  * fetched, and every shared part that is in none is saved. Parts count only in order: once one has
- * to be read, all that follow are read as well.
+ * to be read, all that follow are read as well. A store is therefore named as well for parts that
+ * the engine is believed to keep: it may have dropped them since, and fetches only what it lacks.
  *
  * <p>Holds no state but its engines' link; thread-safe as far as the tables it reads are guarded.
  */
@@ -66,18 +67,16 @@
     for (PromptPart part : parts) {
       String source = CachePlan.NONE;
       if (!isBroken) {
+        Optional<CacheStoreState> store =
+            source(salt, part, engine.entry().domain(), stores, nowMillis);
+        source = store.map(s -> s.store().address().toString()).orElse(CachePlan.NONE);
         if (engine.parts().hasWhole(salt, part)) {
           kept += part.tokens();
+        } else if (store.isPresent()) {
+          fetched += part.tokens();
+          millis += transferMillis(service, store.get().store(), engine, part.tokens());
         } else {
-          Optional<CacheStoreState> store =
-              source(salt, part, engine.entry().domain(), stores, nowMillis);
-          if (store.isPresent()) {
-            source = store.get().store().address().toString();
-            fetched += part.tokens();
-            millis += transferMillis(service, store.get().store(), engine, part.tokens());
-          } else {
-            isBroken = true;
-          }
+          isBroken = true;
         }
       }
       sources.add(source);
--- a/library/src/test/java/org/bulrushpier/placing/CachePlannerTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/CachePlannerTest.java
@@ -57,6 +57,22 @@
         .containsExactly("-", near.store().address().toString(), CachePlan.NONE);
   }
 
+  /** Memory pressure: engines drop parts and their reports of it come late or never. */
+  @Test
+  void storeIsNamedForKeptPartTooAsTheEngineMayHaveDroppedIt() {
+    near.reported(1, NOW);
+    engine.parts().put(SALT, "system", 2_500);
+    near.holds(SALT, "system", 2_500);
+    near.holds(SALT, "session", 5_000);
+
+    CachePlan plan = plan();
+
+    String address = near.store().address().toString();
+    assertThat(plan.sources()).containsExactly(address, address, CachePlan.NONE);
+    assertThat(plan.keptTokens()).isEqualTo(2_500);
+    assertThat(plan.fetchedTokens()).isEqualTo(5_000);
+  }
+
   @Test
   void nothingIsFetchedBehindPartThatMustBeRead() {
     near.reported(1, NOW);
