Stores alone are followed for cache events; longer watches; plans look for stores once

Change: only stores are followed, at most 25 calls a second an instance; whether an engine answers is learned from connections and answers; watches wait by kind (1.8 to 3 s) and rest after a series; the lease's record is written at most every 200 ms; the stores of a prompt's parts are looked up once a domain instead of once an engine; the minimum of retries is split by 32, as 24 instances with an eighth each exceeded it.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
@@ -4,19 +4,18 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.BooleanSupplier;
 import org.bulrushpier.Address;
 import org.bulrushpier.Steady;
 import org.bulrushpier.adapter.CacheFormat;
 import org.bulrushpier.placing.CacheStoreState;
-import org.bulrushpier.replica.Replica;
 import org.bulrushpier.site.Service;
 
 /**
- * Follows what engines and stores keep, by calls that wait until something changes.
+ * Follows what stores keep, by calls that wait until something changes.
  *
- * <p>Where events were lost, an engine's parts are forgotten and a store's are listed anew.
- * Confined to the loop's lock.
+ * <p>Where events were lost, a store's parts are listed anew. Engines are not followed: they fetch
+ * from the stores whatever they no longer keep, and the number of such calls would grow with
+ * instances times engines. Confined to the loop's lock.
  */
 final class CacheEvents {
 
@@ -26,8 +25,17 @@
   /** What an answer may take beyond the wait, in milliseconds. */
   private static final long ANSWER_MILLIS = 400;
 
+  /** The pause after a failed call, in milliseconds; the same is added at random. */
   private static final long PAUSE_MILLIS = 300;
 
+  /**
+   * Calls for events that an instance makes in a second, to all stores together. A busy store
+   * answers at once, so that without a bound the calls grow with the parts that are saved.
+   */
+  private static final double CALLS_PER_SECOND = 25;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private final Tables tables;
   private final Set<String> followed = new HashSet<>();
 
@@ -44,109 +52,37 @@
             configuration -> {
               for (Service service : configuration.services().values()) {
                 switch (service) {
-                  case Service.CacheStore store -> followStore(store);
-                  case Service.Engines engines ->
-                      tables.replicas().of(engines.name()).forEach(this::followEngine);
+                  case Service.CacheStore store -> follow(store);
+                  case Service.Engines engines -> {}
                   case Service.Plain plain -> {}
                 }
               }
             });
   }
 
-  private void followStore(Service.CacheStore store) {
+  private void follow(Service.CacheStore store) {
     if (followed.add(store.name())) {
-      CacheStoreState state = tables.store(store);
-      new Follower(store.address(), store.name(), () -> true, new StoreSink(state)).poll();
-    }
-  }
-
-  private void followEngine(Replica engine) {
-    String key = engine.entry().id() + "/" + engine.entry().bornMillis();
-    if (!engine.isLeaving() && followed.add(key)) {
-      new Follower(
-              engine.entry().address(),
-              engine.entry().id(),
-              () -> !engine.isLeaving() && tables.replicas().find(engine.entry().id()) == engine,
-              new EngineSink(engine))
-          .poll();
+      new Follower(tables.store(store)).poll();
     }
   }
 
-  /** Takes what a holder reports. */
-  private interface Sink {
-    /** A report was read; tells whether all that is kept must be listed. */
-    boolean reported(CacheFormat.Report report);
-
-    /** All that is kept. */
-    void listed(CacheFormat.Report report);
-
-    /** No answer. */
-    void silent();
-  }
-
-  /** Keeps an engine's parts. */
-  private record EngineSink(Replica engine) implements Sink {
-    @Override
-    public boolean reported(CacheFormat.Report report) {
-      engine.reachable();
-      if (report.isLost()) {
-        engine.parts().clear();
-      }
-      report.events().forEach(e -> engine.parts().put(e.salt(), e.part(), e.tokens()));
-      return false;
-    }
-
-    @Override
-    public void listed(CacheFormat.Report report) {}
-
-    @Override
-    public void silent() {
-      engine.unreachable();
-    }
+  private long restMillis() {
+    return Math.round(followed.size() * MILLIS_PER_SECOND / CALLS_PER_SECOND);
   }
 
-  /** Keeps a store's parts. */
-  private record StoreSink(CacheStoreState state) implements Sink {
-    @Override
-    public boolean reported(CacheFormat.Report report) {
-      boolean isNew = state.reported(report.epoch(), Steady.millis());
-      report.events().forEach(e -> state.holds(e.salt(), e.part(), e.tokens()));
-      return report.isLost() || (isNew && !report.isFromStart());
-    }
-
-    @Override
-    public void listed(CacheFormat.Report report) {
-      if (!state.reported(report.epoch(), Steady.millis())) {
-        report.events().forEach(e -> state.holds(e.salt(), e.part(), e.tokens()));
-      }
-    }
-
-    @Override
-    public void silent() {
-      state.silent();
-    }
-  }
-
-  /** Follows one holder. */
+  /** Follows one store. */
   private final class Follower {
+    private final CacheStoreState state;
     private final Address address;
-    private final String name;
-    private final BooleanSupplier isWanted;
-    private final Sink sink;
     private long since;
     private boolean isSilent;
 
-    Follower(Address address, String name, BooleanSupplier isWanted, Sink sink) {
-      this.address = address;
-      this.name = name;
-      this.isWanted = isWanted;
-      this.sink = sink;
+    Follower(CacheStoreState state) {
+      this.state = state;
+      this.address = state.store().address();
     }
 
     void poll() {
-      if (!isWanted.getAsBoolean()) {
-        return;
-      }
       tables
           .client()
           .call(
@@ -166,10 +102,12 @@
         CacheFormat.Report report = CacheFormat.report(outcome.body(), since);
         since = report.next();
         isSilent = false;
-        if (sink.reported(report)) {
+        boolean isNew = state.reported(report.epoch(), Steady.millis());
+        keep(report);
+        if (report.isLost() || (isNew && !report.isFromStart())) {
           list();
         } else {
-          poll();
+          rest();
         }
       } catch (IOException e) {
         failed(e.getMessage());
@@ -184,25 +122,39 @@
               CacheFormat.LIST,
               CacheFormat.waiting(address.toString(), 0),
               WAIT_MILLIS,
-              outcome -> {
-                try {
-                  if (outcome.isOk()) {
-                    CacheFormat.Report all = CacheFormat.list(outcome.body());
-                    since = all.next();
-                    sink.listed(all);
-                  }
-                  poll();
-                } catch (IOException e) {
-                  failed(e.getMessage());
-                }
-              });
+              this::listed);
+    }
+
+    private void listed(StoreClient.Outcome outcome) {
+      if (!outcome.isOk()) {
+        failed("list: " + outcome.status() + " " + outcome.detail());
+        return;
+      }
+      try {
+        CacheFormat.Report all = CacheFormat.list(outcome.body());
+        since = all.next();
+        if (!state.reported(all.epoch(), Steady.millis())) {
+          keep(all);
+        }
+        rest();
+      } catch (IOException e) {
+        failed(e.getMessage());
+      }
+    }
+
+    private void keep(CacheFormat.Report report) {
+      report.events().forEach(e -> state.holds(e.salt(), e.part(), e.tokens()));
+    }
+
+    private void rest() {
+      tables.loop().after(restMillis(), this::poll);
     }
 
     private void failed(String detail) {
-      sink.silent();
+      state.silent();
       if (!isSilent) {
         isSilent = true;
-        tables.log().event("cache-events-lost", "holder", name, "detail", detail);
+        tables.log().event("cache-events-lost", "store", state.store().name(), "detail", detail);
       }
       long pause = PAUSE_MILLIS + ThreadLocalRandom.current().nextLong(PAUSE_MILLIS);
       tables.loop().after(pause, this::poll);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -430,6 +430,7 @@
         long now = Steady.millis();
         if (outbound.isSent() && !work.isStarted() && work.isOverdue(now)) {
           replica.breaker().failed(now);
+          replica.unreachable(now);
           tables
               .log()
               .event(
@@ -477,6 +478,7 @@
       head = read;
       answer = CallFormat.answer(read.status(), read.fields());
       work.started();
+      replica.reachable();
       long now = Steady.millis();
       answer.load().ifPresent(load -> replica.told(load, now));
       int version = CallFormat.weightVersion(read.fields());
@@ -641,6 +643,7 @@
         mayHaveRun = true;
         lost(detail);
       } else {
+        replica.unreachable(Steady.millis());
         tried.add(replica.entry().id());
         if (++connectFailures >= MAX_CONNECT_FAILURES) {
           giveUp(detail);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -55,6 +55,18 @@
   /** How often the settings file is looked at, in milliseconds. */
   private static final long SETTINGS_MILLIS = 2_000;
 
+  /** Readiness and keys hang on the age of the configuration: three fifths of 5 s at most. */
+  private static final StoreWatch.Pace CONFIGURATION_PACE = new StoreWatch.Pace(1_800, 50);
+
+  /** A leaving replica gets no calls after 2 s; a silent connection is excused for 3 s. */
+  private static final StoreWatch.Pace REPLICA_PACE = new StoreWatch.Pace(2_500, 250);
+
+  /** New weights are to be in place within 8 s, of which an order takes a few. */
+  private static final StoreWatch.Pace WEIGHTS_PACE = new StoreWatch.Pace(3_000, 50);
+
+  /** The lease says which engines are changing; requests at those only wait longer. */
+  private static final StoreWatch.Pace LEASE_PACE = new StoreWatch.Pace(3_000, 150);
+
   private static final long SHUTDOWN_POLL_MILLIS = 50;
   private static final String CONFIGURATION = "main";
 
@@ -107,10 +119,10 @@
             "bulrushpier.upstream.connections.opened",
             "Connections opened to upstreams since the start",
             () -> tables.upstreams().opened());
-    watch(StoreFormat.CONFIGURATIONS, new Configurations());
-    watch(StoreFormat.REPLICAS, new Registry());
-    watch(StoreFormat.WEIGHTS, new Weights());
-    watch(StoreFormat.LEASES, rollouts);
+    watch(StoreFormat.CONFIGURATIONS, CONFIGURATION_PACE, new Configurations());
+    watch(StoreFormat.REPLICAS, REPLICA_PACE, new Registry());
+    watch(StoreFormat.WEIGHTS, WEIGHTS_PACE, new Weights());
+    watch(StoreFormat.LEASES, LEASE_PACE, rollouts);
     tick();
   }
 
@@ -144,8 +156,9 @@
         });
   }
 
-  private void watch(String kind, StoreWatch.Listener listener) {
-    new StoreWatch(loop, tables.client(), () -> settings.platformAddress(), kind, listener).start();
+  private void watch(String kind, StoreWatch.Pace pace, StoreWatch.Listener listener) {
+    new StoreWatch(loop, tables.client(), () -> settings.platformAddress(), kind, pace, listener)
+        .start();
   }
 
   private void tick() {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
@@ -47,6 +47,12 @@
   /** How long a report may still show the state before an accepted order, in milliseconds. */
   private static final long REPORT_LAG_MILLIS = 800;
 
+  /**
+   * The least time between two records of which engines change, in milliseconds: each is read by
+   * all.
+   */
+  private static final long RECORD_MILLIS = 200;
+
   /** The pause after a failed write of the lease, in milliseconds. */
   private static final long WRITE_PAUSE_MILLIS = 400;
 
@@ -204,6 +210,7 @@
     private long freeAtMillis = -1;
     private boolean isWriting;
     private boolean isRecordDue;
+    private long recordedMillis = Long.MIN_VALUE / 2;
     private long deferUntil = -1;
     private int deferredFor;
 
@@ -257,7 +264,8 @@
         take(wanted, now, engines);
         return;
       }
-      if (lease.isRenewalDue(now) || isRecordDue) {
+      boolean isRecordRested = now.steadyMillis() - recordedMillis >= RECORD_MILLIS;
+      if (lease.isRenewalDue(now) || (isRecordDue && isRecordRested)) {
         write(wanted.version(), engines, false);
       }
       if (lease.mayOrder(now)) {
@@ -309,6 +317,7 @@
     private void write(int version, List<Replica> engines, boolean isReleased) {
       isWriting = true;
       isRecordDue = false;
+      recordedMillis = Steady.millis();
       List<String> changed = new ArrayList<>();
       for (Replica engine : engines) {
         if (engine.version(model) >= version) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -16,10 +16,11 @@
  * Follows one kind of objects in the platform's store: a list first, then watches from its
  * revision.
  *
- * <p>A watch that is still waiting proves nothing, so watches are short; the listener is told of
- * each call that ended well together with the moment it was sent. After a failure the next call is
- * made after a random pause that grows up to a bound, so that the instances do not return together.
- * Confined to the loop's lock.
+ * <p>A watch that is still waiting proves nothing, so watches are short, and each kind has a pace
+ * of its own: how old a belief may get, against the calls that all instances make together. The
+ * listener is told of each call that ended well together with the moment it was sent. After a
+ * failure the next call is made after a random pause that grows up to a bound, so that the
+ * instances do not return together. Confined to the loop's lock.
  */
 final class StoreWatch {
 
@@ -35,8 +36,14 @@
     void away(String detail);
   }
 
-  /** How long a watch waits, in milliseconds: a connection gone silent is noticed soon after. */
-  private static final long WAIT_MILLIS = 1_500;
+  /**
+   * How often a kind is asked for. Immutable and thread-safe.
+   *
+   * @param waitMillis how long a watch waits for a change, in milliseconds
+   * @param restMillis the pause after changes, so that a series of them comes with one call, in
+   *     milliseconds
+   */
+  record Pace(long waitMillis, long restMillis) {}
 
   /** What an answer may take beyond the wait, in milliseconds: a slow store takes some hundred. */
   private static final long ANSWER_MILLIS = 700;
@@ -52,6 +59,7 @@
   private final StoreClient client;
   private final Supplier<Address> address;
   private final String kind;
+  private final Pace pace;
   private final Listener listener;
   private final List<StoredValue> pages = new ArrayList<>();
   private Moment listSent;
@@ -60,11 +68,17 @@
   private boolean isProbing = true;
 
   StoreWatch(
-      NetLoop loop, StoreClient client, Supplier<Address> address, String kind, Listener listener) {
+      NetLoop loop,
+      StoreClient client,
+      Supplier<Address> address,
+      String kind,
+      Pace pace,
+      Listener listener) {
     this.loop = loop;
     this.client = client;
     this.address = address;
     this.kind = kind;
+    this.pace = pace;
     this.listener = listener;
   }
 
@@ -116,8 +130,8 @@
   }
 
   private void watch() {
-    long wait = isProbing ? 0 : WAIT_MILLIS;
-    long limit = isProbing ? PROBE_MILLIS : WAIT_MILLIS + ANSWER_MILLIS;
+    long wait = isProbing ? 0 : pace.waitMillis();
+    long limit = isProbing ? PROBE_MILLIS : pace.waitMillis() + ANSWER_MILLIS;
     client.call(
         address.get(),
         "GET",
@@ -142,7 +156,11 @@
       revision = events.revision();
       succeeded();
       listener.changed(events.events(), outcome.sent());
-      next();
+      if (events.events().isEmpty()) {
+        next();
+      } else {
+        loop.after(pace.restMillis(), this::next);
+      }
     } catch (IOException e) {
       failed("changes of " + kind + " cannot be read: " + e.getMessage());
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
@@ -31,8 +31,11 @@
   /** Idle connections are kept this long at most, in milliseconds. */
   private static final long IDLE_MILLIS = 10_000;
 
-  /** The instances among which the minimum of retries is split: twice those of a site today. */
-  private static final int RETRY_PARTS = 8;
+  /**
+   * The instances among which the minimum of retries is split: the 24 of a grown site, and some
+   * that replace others. Instances do not know their number, so each takes the smaller part.
+   */
+  private static final int RETRY_PARTS = 32;
 
   private final NetLoop loop;
   private final Supplier<GatewaySettings> settings;
--- a/library/src/main/java/org/bulrushpier/placing/CachePlanner.java
+++ b/library/src/main/java/org/bulrushpier/placing/CachePlanner.java
@@ -31,9 +31,6 @@
   /** Transfers between failure domains take twice as long. */
   private static final double CROSSING_FACTOR = 2;
 
-  /** Parts below this many tokens are read: a transfer's fixed cost outweighs them. */
-  private static final int MIN_TOKENS = 64;
-
   private CachePlanner() {}
 
   /**
@@ -43,33 +40,32 @@
    * @param salt the salt
    * @param service the engine's service
    * @param engine the engine
-   * @param stores the stores
-   * @param nowMillis the steady time
+   * @param sources the stores of the prompt's parts under that salt
    * @return the plan, without saves
    */
-  public static CachePlan plan(
+  static CachePlan plan(
       PromptShape prompt,
       String salt,
       Service.Engines service,
       Replica engine,
-      Collection<CacheStoreState> stores,
-      long nowMillis) {
+      PartSources sources) {
     int kept = 0;
     int fetched = 0;
     double millis = 0;
-    List<String> sources = new ArrayList<>();
+    List<String> addresses = new ArrayList<>();
     List<PromptPart> parts = prompt.parts();
+    List<Optional<CacheStoreState>> nearest = sources.nearest(engine.entry().domain());
     int shared = 0;
     for (int i = 0; i < parts.size() - 1; i++) {
       shared += parts.get(i).tokens();
     }
     boolean isBroken = false;
-    for (PromptPart part : parts) {
-      String source = CachePlan.NONE;
+    for (int i = 0; i < parts.size(); i++) {
+      PromptPart part = parts.get(i);
+      String address = CachePlan.NONE;
       if (!isBroken) {
-        Optional<CacheStoreState> store =
-            source(salt, part, engine.entry().domain(), stores, nowMillis);
-        source = store.map(s -> s.store().address().toString()).orElse(CachePlan.NONE);
+        Optional<CacheStoreState> store = nearest.get(i);
+        address = store.map(s -> s.store().address().toString()).orElse(CachePlan.NONE);
         if (engine.parts().hasWhole(salt, part)) {
           kept += part.tokens();
         } else if (store.isPresent()) {
@@ -79,7 +75,7 @@
           isBroken = true;
         }
       }
-      sources.add(source);
+      addresses.add(address);
     }
     int covered = Math.min(prompt.inputTokens(), kept + fetched);
     return new CachePlan(
@@ -88,26 +84,10 @@
         prompt.inputTokens() - covered,
         Math.max(0, shared - covered),
         millis,
-        sources,
+        addresses,
         List.of());
   }
 
-  private static Optional<CacheStoreState> source(
-      String salt,
-      PromptPart part,
-      String domain,
-      Collection<CacheStoreState> stores,
-      long nowMillis) {
-    if (part.tokens() < MIN_TOKENS) {
-      return Optional.empty();
-    }
-    return stores.stream()
-        .filter(store -> store.isLive(nowMillis) && store.has(salt, part))
-        .min(
-            Comparator.comparing((CacheStoreState store) -> !store.store().domain().equals(domain))
-                .thenComparing(store -> -store.store().linkMbps()));
-  }
-
   private static double transferMillis(
       Service.Engines service, Service.CacheStore store, Replica engine, int tokens) {
     double mbps = Math.max(1, Math.min(service.linkMbps(), store.linkMbps()));
@@ -139,7 +119,7 @@
       boolean isOwn = i == parts.size() - 1;
       boolean isSaved = stores.stream().anyMatch(store -> store.hasOrSaves(salt, part, nowMillis));
       Optional<CacheStoreState> target =
-          isOwn || isSaved || part.tokens() < MIN_TOKENS
+          isOwn || isSaved || part.tokens() < PartSources.MIN_TOKENS
               ? Optional.empty()
               : roomiest(part, engine.entry().domain(), stores, nowMillis);
       target.ifPresent(store -> store.saves(salt, part, nowMillis));
--- a/library/src/main/java/org/bulrushpier/placing/CacheStoreState.java
+++ b/library/src/main/java/org/bulrushpier/placing/CacheStoreState.java
@@ -14,8 +14,11 @@
  */
 public final class CacheStoreState {
 
-  /** How long a report is believed, in milliseconds: a waiting call and the way of its answer. */
-  private static final long REPORT_LIFE_MILLIS = 1_800;
+  /**
+   * How long a report is believed, in milliseconds: a rest between calls, a waiting call and the
+   * way of its answer, at thirty stores.
+   */
+  private static final long REPORT_LIFE_MILLIS = 3_000;
 
   /** How long a save may take before it is tried again, in milliseconds. */
   private static final long SAVE_MILLIS = 3_000;
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -1,7 +1,9 @@
 package org.bulrushpier.placing;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.IntFunction;
 import org.bulrushpier.call.PromptShape;
@@ -50,7 +52,7 @@
   /** What an engine that fails every call costs, in milliseconds. */
   private static final double FAILURE_MILLIS = 3_000;
 
-  /** What an engine costs that does not answer even calls without work, in milliseconds. */
+  /** What an engine costs that lately took no connection or did not answer, in milliseconds. */
   private static final double UNREACHABLE_MILLIS = 2_000;
 
   /** Decode slows down with each running call, in milliseconds to the first token. */
@@ -110,13 +112,17 @@
     double bestCost = Double.MAX_VALUE;
     double bestMillis = Double.MAX_VALUE;
     String home = home(prompt, engines);
+    Map<Integer, PartSources> sources = new HashMap<>();
     for (Replica engine : engines) {
       if (excluded.contains(engine.entry().id())) {
         continue;
       }
       int version = engine.version(prompt.model());
-      CachePlan plan =
-          CachePlanner.plan(prompt, salts.apply(version), service, engine, stores, nowMillis);
+      String salt = salts.apply(version);
+      PartSources found =
+          sources.computeIfAbsent(
+              version, v -> PartSources.of(prompt.parts(), salt, stores, nowMillis));
+      CachePlan plan = CachePlanner.plan(prompt, salt, service, engine, found);
       double millis = predict(prompt, service, engine, plan, nowMillis);
       if (!weights.allows(version, millis)) {
         continue;
@@ -174,7 +180,7 @@
     return millis
         + engine.overdue(nowMillis) * OVERDUE_MILLIS
         + failures * FAILURE_MILLIS
-        + (engine.isUnreachable() ? UNREACHABLE_MILLIS : 0);
+        + (engine.isUnreachable(nowMillis) ? UNREACHABLE_MILLIS : 0);
   }
 
   /** The engine that all instances would choose for a session, if they knew nothing else. */
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -16,6 +16,9 @@
  */
 public final class Replica {
 
+  /** How long a replica that did not answer is avoided, in milliseconds: a few tries a minute. */
+  private static final long UNREACHABLE_MILLIS = 2_000;
+
   private ReplicaEntry entry;
   private String leavingBy = "";
   private long missingSinceMillis = -1;
@@ -23,7 +26,7 @@
   private long toldAtMillis = Long.MIN_VALUE / 2;
   private int ownAtTold;
   private long pausedUntilMillis = Long.MIN_VALUE;
-  private boolean isUnreachable;
+  private long unreachableUntilMillis = Long.MIN_VALUE;
   private final FailureShare failures = new FailureShare();
   private final Breaker breaker = new Breaker();
   private final Map<String, Integer> versions = new HashMap<>();
@@ -225,23 +228,28 @@
     return failures.share(nowMillis);
   }
 
-  /** Takes note that it does not answer calls that cost it nothing. */
-  public void unreachable() {
-    isUnreachable = true;
+  /**
+   * Takes note that it took no connection, or did not answer a call in time.
+   *
+   * @param nowMillis the steady time
+   */
+  public void unreachable(long nowMillis) {
+    unreachableUntilMillis = nowMillis + UNREACHABLE_MILLIS;
   }
 
   /** Takes note that it answers. */
   public void reachable() {
-    isUnreachable = false;
+    unreachableUntilMillis = Long.MIN_VALUE;
   }
 
   /**
    * Tells whether it lately did not answer.
    *
-   * @return true until it answers again
+   * @param nowMillis the steady time
+   * @return true until it answers again, or for a while
    */
-  public boolean isUnreachable() {
-    return isUnreachable;
+  public boolean isUnreachable(long nowMillis) {
+    return nowMillis < unreachableUntilMillis;
   }
 
   /**
--- a/library/src/test/java/org/bulrushpier/placing/CachePlannerTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/CachePlannerTest.java
@@ -28,7 +28,8 @@
   private final CacheStoreState far = Engines.store("far", "sur", 100_000);
 
   private CachePlan plan() {
-    return CachePlanner.plan(prompt, SALT, Engines.SERVICE, engine, List.of(near, far), NOW);
+    PartSources sources = PartSources.of(prompt.parts(), SALT, List.of(near, far), NOW);
+    return CachePlanner.plan(prompt, SALT, Engines.SERVICE, engine, sources);
   }
 
   @Test
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -118,7 +118,7 @@
     for (int i = 0; i < 30; i++) {
       engines.get(0).outcome(true, NOW);
     }
-    engines.get(1).unreachable();
+    engines.get(1).unreachable(NOW - 500);
     engines.get(2).begin("late", new Replica.Work(0, 0, 0, NOW - 2_000, NOW - 1_000));
 
     for (int i = 0; i < 40; i++) {
