Stores are asked with short waits; calls are left with engines that answer others

Calls of 1 s at crowded stores without a wait were tried and refused alike (2,300 in 16 s). Change: calls wait 200 ms, rest with a spread, and a refusal does not make a store silent. Cause of the second: 1,239 calls in 10 s were taken from engines after 1.2 s of silence, though those were busy and answered others; each was read a second time elsewhere. Change: Patience, a decision of its own; a call waits half as long again where the engine answers other calls.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
@@ -19,12 +19,24 @@
  */
 final class CacheEvents {
 
-  /** How long a call waits, in milliseconds: the longest that holders allow. */
-  private static final long WAIT_MILLIS = 1_000;
+  /**
+   * How long a call waits, in milliseconds: the least that stores do not take for a health check. A
+   * store holds a dozen waiting calls only, and refuses all calls while it does.
+   */
+  private static final long WAIT_MILLIS = 200;
 
   /** What an answer may take beyond the wait, in milliseconds. */
   private static final long ANSWER_MILLIS = 400;
 
+  /** Status of a store that holds as many waiting calls as it can; it is well otherwise. */
+  private static final int TOO_MANY = 429;
+
+  /** How long a list of all parts may take, in milliseconds. */
+  private static final long LIST_MILLIS = 1_000;
+
+  /** Rests differ by up to this share of their length, so that instances do not call together. */
+  private static final double REST_SPREAD = 0.25;
+
   /** The pause after a failed call, in milliseconds; the same is added at random. */
   private static final long PAUSE_MILLIS = 300;
 
@@ -67,7 +79,8 @@
   }
 
   private long restMillis() {
-    return Math.round(followed.size() * MILLIS_PER_SECOND / CALLS_PER_SECOND);
+    double spread = ThreadLocalRandom.current().nextDouble(1 - REST_SPREAD, 1 + REST_SPREAD);
+    return Math.round(followed.size() * MILLIS_PER_SECOND / CALLS_PER_SECOND * spread);
   }
 
   /** Follows one store. */
@@ -94,6 +107,10 @@
     }
 
     private void answered(StoreClient.Outcome outcome) {
+      if (outcome.status() == TOO_MANY) {
+        rest();
+        return;
+      }
       if (!outcome.isOk()) {
         failed(outcome.status() + " " + outcome.detail());
         return;
@@ -121,7 +138,7 @@
               address,
               CacheFormat.LIST,
               CacheFormat.waiting(address.toString(), 0),
-              WAIT_MILLIS,
+              LIST_MILLIS,
               this::listed);
     }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -20,6 +20,7 @@
 import org.bulrushpier.daemon.net.Outbound;
 import org.bulrushpier.placing.CachePlanner;
 import org.bulrushpier.placing.CacheSalt;
+import org.bulrushpier.placing.Patience;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.WeightsWish;
@@ -61,9 +62,6 @@
   /** A stream that may be resumed goes on elsewhere after this silence, in milliseconds. */
   private static final long STREAM_SILENCE_MILLIS = 1_200;
 
-  /** No call is repeated for silence sooner, in milliseconds. */
-  private static final long MIN_PATIENCE_MILLIS = 250;
-
   private final Tables tables;
   private final CallerConnection caller;
   private final InboundRequest inbound;
@@ -82,6 +80,8 @@
   private long lastEvent = -1;
   private boolean isStreaming;
   private long lastProgressMillis;
+  private long firstEventAfterMillis = -1;
+  private long longestPauseMillis;
 
   Exchange(Tables tables, CallerConnection caller, InboundRequest inbound, CallerRequest request) {
     this.tables = tables;
@@ -203,10 +203,8 @@
     if (attempt.work.isStarted()) {
       return isStreaming && nowMillis - lastProgressMillis > STREAM_SILENCE_MILLIS;
     }
-    long patience =
-        Math.max(
-            MIN_PATIENCE_MILLIS, 2 * Math.max(attempt.placed.expectedMillis(), route.goalMillis()));
-    return nowMillis - attempt.work.sentMillis() > patience;
+    return Patience.of(attempt.placed.expectedMillis(), route.goalMillis())
+        .isOver(attempt.work.sentMillis(), attempt.replica.heardMillis(), nowMillis);
   }
 
   private boolean canRepeat() {
@@ -478,8 +476,8 @@
       head = read;
       answer = CallFormat.answer(read.status(), read.fields());
       work.started();
-      replica.reachable();
       long now = Steady.millis();
+      replica.heard(now);
       answer.load().ifPresent(load -> replica.told(load, now));
       int version = CallFormat.weightVersion(read.fields());
       if (version > 0 && request.prompt().isPresent()) {
@@ -523,7 +521,9 @@
     }
 
     private void event(byte[] bytes, long id) {
-      lastProgressMillis = Steady.millis();
+      long now = Steady.millis();
+      progressed(now);
+      replica.heard(now);
       if (id >= 0 && lastEvent >= 0 && id != lastEvent + 1) {
         tables
             .log()
@@ -541,6 +541,16 @@
       caller.body(ByteBuffer.wrap(bytes));
     }
 
+    /** Takes note of what makes a stream late: its first event, and pauses between events. */
+    private void progressed(long nowMillis) {
+      if (firstEventAfterMillis < 0) {
+        firstEventAfterMillis = nowMillis - arrivedMillis;
+      } else {
+        longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastProgressMillis);
+      }
+      lastProgressMillis = nowMillis;
+    }
+
     @Override
     public void completed() {
       if (isOver) {
@@ -615,7 +625,11 @@
               "status",
               head.status(),
               "afterMs",
-              age());
+              age(),
+              "firstEventMs",
+              firstEventAfterMillis,
+              "longestPauseMs",
+              longestPauseMillis);
       tables.metrics().answered(age());
       finish("answered");
     }
--- a/library/src/main/java/org/bulrushpier/placing/CacheStoreState.java
+++ b/library/src/main/java/org/bulrushpier/placing/CacheStoreState.java
@@ -15,10 +15,10 @@
 public final class CacheStoreState {
 
   /**
-   * How long a report is believed, in milliseconds: a rest between calls, a waiting call and the
-   * way of its answer, at thirty stores.
+   * How long a report is believed, in milliseconds: two rests between calls at thirty stores, as
+   * the first of them may be refused, and the way of an answer.
    */
-  private static final long REPORT_LIFE_MILLIS = 3_000;
+  private static final long REPORT_LIFE_MILLIS = 4_000;
 
   /** How long a save may take before it is tried again, in milliseconds. */
   private static final long SAVE_MILLIS = 3_000;
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -27,6 +27,7 @@
   private int ownAtTold;
   private long pausedUntilMillis = Long.MIN_VALUE;
   private long unreachableUntilMillis = Long.MIN_VALUE;
+  private long heardMillis = Long.MIN_VALUE / 2;
   private final FailureShare failures = new FailureShare();
   private final Breaker breaker = new Breaker();
   private final Map<String, Integer> versions = new HashMap<>();
@@ -237,11 +238,25 @@
     unreachableUntilMillis = nowMillis + UNREACHABLE_MILLIS;
   }
 
-  /** Takes note that it answers. */
-  public void reachable() {
+  /**
+   * Takes note that it answers.
+   *
+   * @param nowMillis the steady time
+   */
+  public void heard(long nowMillis) {
+    heardMillis = nowMillis;
     unreachableUntilMillis = Long.MIN_VALUE;
   }
 
+  /**
+   * Returns when anything was last heard from it.
+   *
+   * @return steady milliseconds, long ago if never
+   */
+  public long heardMillis() {
+    return heardMillis;
+  }
+
   /**
    * Tells whether it lately did not answer.
    *
