Followers of the store in files of their own; one type for callers' limits; unused accessors removed

Cause (read as a newcomer): Gateway held three followers of the platform's store, CallerConnection a copy of CallerLimits, Replica and ConnectionPool accessors that nobody calls. Behaviour as before.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import org.bulrushpier.site.CallerLimits;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
@@ -49,12 +50,12 @@
     default void left(CallerConnection connection) {}
 
     /**
-     * Returns the bounds for requests on new connections.
+     * Returns the limits for requests on new connections.
      *
-     * @return the bounds in force
+     * @return the limits in force
      */
-    default Bounds bounds() {
-      return Bounds.DEFAULT;
+    default CallerLimits limits() {
+      return CallerLimits.DEFAULT;
     }
 
     /**
@@ -67,22 +68,9 @@
     }
   }
 
-  /**
-   * What a caller may send, and how long it may take.
-   *
-   * @param headerBytes the largest head
-   * @param bodyBytes the largest body
-   * @param headerMillis how long a head may take once begun
-   * @param idleMillis how long a connection may stay without a request
-   */
-  public record Bounds(int headerBytes, int bodyBytes, long headerMillis, long idleMillis) {
-    /** The bounds before any configuration is known. */
-    public static final Bounds DEFAULT = new Bounds(16_384, 4 * 1_024 * 1_024, 3_000, 15_000);
-  }
-
   private final Handler handler;
   private final HttpParser parser;
-  private final Bounds bounds;
+  private final CallerLimits limits;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private ByteBuffer ahead;
   private HttpFields.Mutable fields = HttpFields.build();
@@ -100,8 +88,8 @@
   CallerConnection(NetLoop loop, EndPoint endPoint, Handler handler) {
     super(loop, endPoint);
     this.handler = handler;
-    this.bounds = handler.bounds();
-    this.parser = new HttpParser(new Requests(), bounds.headerBytes(), HttpCompliance.RFC7230);
+    this.limits = handler.limits();
+    this.parser = new HttpParser(new Requests(), limits.headerBytes(), HttpCompliance.RFC7230);
   }
 
   @Override
@@ -238,7 +226,7 @@
         return;
       }
       if (parser.isStart()) {
-        startTimer(bounds.headerMillis());
+        startTimer(limits.headerTimeoutMillis());
       }
       if (parser.isState(HttpParser.State.CLOSE) || parser.isState(HttpParser.State.CLOSED)) {
         return;
@@ -279,7 +267,7 @@
     isAnswerStarted = false;
     fields = HttpFields.build();
     body.reset();
-    startTimer(bounds.idleMillis());
+    startTimer(limits.idleTimeoutMillis());
   }
 
   private void startTimer(long millis) {
@@ -331,11 +319,11 @@
 
     @Override
     public boolean headerComplete() {
-      if (parser.getContentLength() > bounds.bodyBytes()) {
+      if (parser.getContentLength() > limits.bodyBytes()) {
         reject(413);
         return true;
       }
-      startTimer(bounds.idleMillis());
+      startTimer(limits.idleTimeoutMillis());
       return false;
     }
 
@@ -343,7 +331,7 @@
     public boolean content(ByteBuffer bytes) {
       byte[] piece = new byte[bytes.remaining()];
       bytes.get(piece);
-      if (body.size() + piece.length > bounds.bodyBytes()) {
+      if (body.size() + piece.length > limits.bodyBytes()) {
         reject(413);
         return true;
       }
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
@@ -59,17 +59,6 @@
     groups.computeIfAbsent(address, Group::new).send(request, maxIdleMillis);
   }
 
-  /**
-   * Returns how many connections are open or being opened to an address.
-   *
-   * @param address the address
-   * @return the number
-   */
-  public int connections(Address address) {
-    Group group = groups.get(address);
-    return group == null ? 0 : group.all.size() + group.opening;
-  }
-
   /**
    * Returns how many connections were opened since the start.
    *
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -3,22 +3,17 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bulrushpier.Hash;
 import org.bulrushpier.Moment;
 import org.bulrushpier.Steady;
 import org.bulrushpier.adapter.CallFormat;
-import org.bulrushpier.adapter.SiteFormat;
 import org.bulrushpier.adapter.StoreFormat;
-import org.bulrushpier.adapter.StoreFormat.Event;
-import org.bulrushpier.adapter.StoreFormat.StoredValue;
 import org.bulrushpier.call.CallerRequest;
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.InboundRequest;
 import org.bulrushpier.daemon.net.NetLoop;
-import org.bulrushpier.replica.ReplicaTable.Change;
 import org.bulrushpier.settings.GatewaySettings;
 import org.bulrushpier.site.CallerLimits;
 import org.bulrushpier.site.Configuration;
@@ -68,7 +63,6 @@
   private static final StoreWatch.Pace LEASE_PACE = new StoreWatch.Pace(3_000, 150);
 
   private static final long SHUTDOWN_POLL_MILLIS = 50;
-  private static final String CONFIGURATION = "main";
 
   private volatile GatewaySettings settings;
   private final NetLoop loop = NetLoop.start();
@@ -119,9 +113,9 @@
             "bulrushpier.upstream.connections.opened",
             "Connections opened to upstreams since the start",
             () -> tables.upstreams().opened());
-    watch(StoreFormat.CONFIGURATIONS, CONFIGURATION_PACE, new Configurations());
-    watch(StoreFormat.REPLICAS, REPLICA_PACE, new Registry());
-    watch(StoreFormat.WEIGHTS, WEIGHTS_PACE, new Weights());
+    watch(StoreFormat.CONFIGURATIONS, CONFIGURATION_PACE, new ConfigurationFollower(tables));
+    watch(StoreFormat.REPLICAS, REPLICA_PACE, new ReplicaFollower(tables));
+    watch(StoreFormat.WEIGHTS, WEIGHTS_PACE, new WeightsFollower(tables));
     watch(StoreFormat.LEASES, LEASE_PACE, rollouts);
     tick();
   }
@@ -168,7 +162,10 @@
     }
     exchanges.removeIf(Exchange::isDone);
     connections.removeIf(CallerConnection::isClosed);
-    tables.replicas().expire(now).forEach(id -> belief("replica-gone", id, "did not return"));
+    tables
+        .replicas()
+        .expire(now)
+        .forEach(id -> tables.belief("replica-gone", id, "did not return"));
     cacheEvents.tick();
     if (!isLeaving) {
       rollouts.tick();
@@ -186,10 +183,6 @@
     return isReady;
   }
 
-  private void belief(String event, String id, Object detail) {
-    tables.log().event(event, "id", id, "detail", detail);
-  }
-
   /** Stops taking connections, lets running requests end, and stops. */
   public void shutDown() {
     long start = Steady.millis();
@@ -282,18 +275,12 @@
     }
 
     @Override
-    public CallerConnection.Bounds bounds() {
-      CallerLimits limits =
-          tables
-              .configuration()
-              .configuration()
-              .map(Configuration::limits)
-              .orElse(CallerLimits.DEFAULT);
-      return new CallerConnection.Bounds(
-          limits.headerBytes(),
-          limits.bodyBytes(),
-          limits.headerTimeoutMillis(),
-          limits.idleTimeoutMillis());
+    public CallerLimits limits() {
+      return tables
+          .configuration()
+          .configuration()
+          .map(Configuration::limits)
+          .orElse(CallerLimits.DEFAULT);
     }
 
     @Override
@@ -301,137 +288,4 @@
       return isLeaving;
     }
   }
-
-  /** Follows the operators' configuration. */
-  private final class Configurations implements StoreWatch.Listener {
-    private boolean isAway;
-
-    @Override
-    public void listed(List<StoredValue> values, Moment sent) {
-      back();
-      values.forEach(value -> accept(value, sent));
-    }
-
-    @Override
-    public void changed(List<Event> events, Moment sent) {
-      back();
-      events.forEach(event -> accept(event.value(), sent));
-      tables.configuration().confirm(sent);
-    }
-
-    private void back() {
-      if (isAway) {
-        isAway = false;
-        tables.log().event("store-back", "kind", StoreFormat.CONFIGURATIONS);
-      }
-    }
-
-    private void accept(StoredValue value, Moment sent) {
-      if (!value.name().equals(CONFIGURATION)) {
-        return;
-      }
-      try {
-        Configuration read =
-            SiteFormat.configuration(
-                value.content(), finding -> belief("configuration-finding", "main", finding));
-        if (tables.configuration().accept(read, sent)) {
-          belief("configuration", "version " + read.version(), "revision " + value.revision());
-        }
-      } catch (IllegalArgumentException e) {
-        belief("configuration-unreadable", "main", e.getMessage());
-      }
-    }
-
-    @Override
-    public void away(String detail) {
-      if (!isAway) {
-        isAway = true;
-        tables.log().event("store-away", "kind", StoreFormat.CONFIGURATIONS, "detail", detail);
-      }
-    }
-  }
-
-  /** Follows the replicas. */
-  private final class Registry implements StoreWatch.Listener {
-
-    @Override
-    public void listed(List<StoredValue> values, Moment sent) {
-      long now = Steady.millis();
-      tables.replicas().storeBack(now);
-      Set<String> ids = new HashSet<>();
-      for (StoredValue value : values) {
-        ids.add(value.name());
-        put(value);
-      }
-      tables
-          .replicas()
-          .retain(ids, now)
-          .forEach((id, change) -> belief("replica-" + change.name(), id, "not listed"));
-    }
-
-    @Override
-    public void changed(List<Event> events, Moment sent) {
-      long now = Steady.millis();
-      tables.replicas().storeBack(now);
-      for (Event event : events) {
-        if (event.isRemoved()) {
-          Change change = tables.replicas().remove(event.value().name(), now);
-          belief("replica-" + change.name(), event.value().name(), "removed");
-        } else {
-          put(event.value());
-        }
-      }
-    }
-
-    private void put(StoredValue value) {
-      try {
-        Change change = tables.replicas().put(SiteFormat.replica(value.name(), value.content()));
-        if (change != Change.NONE) {
-          belief("replica-" + change.name(), value.name(), "revision " + value.revision());
-        }
-      } catch (IllegalArgumentException e) {
-        belief("replica-unreadable", value.name(), e.getMessage());
-      }
-    }
-
-    @Override
-    public void away(String detail) {
-      tables.replicas().storeAway();
-    }
-  }
-
-  /** Follows the wanted weights. */
-  private final class Weights implements StoreWatch.Listener {
-
-    /** A call that ended well; what a later one shows was named after it was sent. */
-    private Moment proof;
-
-    @Override
-    public void listed(List<StoredValue> values, Moment sent) {
-      values.forEach(value -> accept(value, proof == null ? sent : proof));
-      proof = sent;
-    }
-
-    @Override
-    public void changed(List<Event> events, Moment sent) {
-      events.forEach(event -> accept(event.value(), sent));
-      proof = sent;
-    }
-
-    private void accept(StoredValue value, Moment since) {
-      try {
-        SiteFormat.WantedWeights named = SiteFormat.weights(value.content());
-        if (tables.weights().name(named.model(), named.version(), since)) {
-          belief("weights-named", named.model(), named.version());
-        }
-      } catch (IllegalArgumentException e) {
-        belief("weights-unreadable", value.name(), e.getMessage());
-      }
-    }
-
-    @Override
-    public void away(String detail) {
-      tables.log().event("store-away", "kind", StoreFormat.WEIGHTS, "detail", detail);
-    }
-  }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
@@ -112,6 +112,11 @@
     return log;
   }
 
+  /** Writes a line for a changed belief. */
+  void belief(String event, String id, Object detail) {
+    log.event(event, "id", id, "detail", detail);
+  }
+
   /** The state of a store of cache parts; a store at another address is another one. */
   CacheStoreState store(Service.CacheStore store) {
     return stores.computeIfAbsent(store.name(), name -> new CacheStoreState(store));
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.bulrushpier.Address;
+import org.bulrushpier.site.CallerLimits;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -41,8 +42,8 @@
     }
 
     @Override
-    public CallerConnection.Bounds bounds() {
-      return new CallerConnection.Bounds(2_000, 1_000, 60_000, 60_000);
+    public CallerLimits limits() {
+      return new CallerLimits(2_000, 1_000, 60_000, 60_000);
     }
   }
 
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -181,15 +181,6 @@
     pausedUntilMillis = Long.MIN_VALUE;
   }
 
-  /**
-   * Returns until when the replica is left alone.
-   *
-   * @return steady milliseconds
-   */
-  public long pausedUntilMillis() {
-    return pausedUntilMillis;
-  }
-
   /**
    * Tells whether a call may be sent there now.
    *
