--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -17,6 +17,8 @@
 import org.bulrushpier.Address;
 import org.bulrushpier.Finding;
 import org.bulrushpier.daemon.serve.Gateway;
+import org.bulrushpier.placing.CacheSalt;
+import org.bulrushpier.rig.gateway.CacheStoreFake;
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
 import org.bulrushpier.rig.gateway.ReplicaFake;
 import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
@@ -365,4 +367,42 @@
     assertThat(response.get().body()).isEqualTo(events(1, ReplicaFake.EVENTS));
     leaving.join();
   }
+
+  /**
+   * Many instances ask one store: it refuses most of their calls, but still gives out its parts.
+   */
+  @Test
+  void storeThatRefusesCallsForEventsIsStillFetchedFrom() throws Exception {
+    String salt = new CacheSalt("m0", 1, "").text();
+    try (CacheStoreFake cache = CacheStoreFake.start(salt, "a1", 80)) {
+      String memory =
+          """
+          {"name":"memory","kv_store_addr":"%s","zone":"norte","kv_capacity":100000,
+           "link_mbps":1000.0,"first_ms":0.5,"managed":true},
+          {"name":"plain","""
+              .formatted(cache.address());
+      store.put(
+          "config",
+          "main",
+          CONFIGURATION.formatted(2, "\"key\"").replaceFirst("\\{\"name\":\"plain\",", memory));
+      await(() -> sources().contains(cache.address().toString()));
+      cache.crowd();
+      await(() -> cache.refused() > 0);
+
+      assertThat(sources()).contains(cache.address().toString());
+    }
+  }
+
+  /** Sends a generation and returns where its parts were to be fetched from. */
+  private String sources() {
+    int before = (int) ran("engines");
+    assertThat(status(generation("/stream/a"))).isEqualTo(200);
+    assertThat(ran("engines")).isGreaterThan(before);
+    return of("engines")
+        .flatMap(replica -> replica.ran().stream())
+        .filter(ran -> ran.fields().get("attempt-id").equals("id" + lastId))
+        .map(ran -> ran.fields().getOrDefault("kv-source", ""))
+        .findFirst()
+        .orElse("");
+  }
 }
