--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
@@ -62,9 +62,6 @@
   /** After this long no call for older weights can still fetch parts, in milliseconds. */
   private static final long FREE_MILLIS = 3_000;
 
-  /** How long running requests may end before an engine is ordered, in milliseconds. */
-  private static final long DRAIN_MILLIS = 600;
-
   /** How long an engine that does not answer holds up others, in milliseconds. */
   private static final long SILENCE_MILLIS = 1_500;
 
@@ -452,12 +449,11 @@
         long now = Steady.millis();
         change.answeredMillis = now;
         int serves = report.weightVersions().getOrDefault(model, 0);
-        boolean isIdle = report.running() + report.waiting() == 0;
         if (serves >= version && !report.isChanging()) {
           finished(engine, serves);
         } else if (!report.isChanging()
             && now - change.acceptedMillis > REPORT_LAG_MILLIS
-            && (isIdle || now - change.sinceMillis >= DRAIN_MILLIS)
+            && RolloutPlan.isDrained(now - change.sinceMillis, report.running(), report.waiting())
             && lease.mayOrder(Moment.now())) {
           give(engine, change, version, report.acceptedOrders());
         }
--- a/library/src/main/java/org/bulrushpier/rollout/RolloutPlan.java
+++ b/library/src/main/java/org/bulrushpier/rollout/RolloutPlan.java
@@ -22,8 +22,31 @@
 
   private static final int MIN_WIDTH = 3;
 
+  /** Until all instances know of the change and a report can show it, in milliseconds. */
+  private static final long ANNOUNCED_MILLIS = 600;
+
+  /** How long waiting calls hold up a change, in milliseconds: a tenth of the time it has. */
+  private static final long LONGEST_DRAIN_MILLIS = 800;
+
   private RolloutPlan() {}
 
+  /**
+   * Tells whether an engine that takes no new calls may be ordered to change.
+   *
+   * <p>An engine refuses the calls that wait in its queue when it changes, so it is left to begin
+   * them first; those that it runs go on.
+   *
+   * @param sinceMillis for how long it was announced, in milliseconds
+   * @param running calls that it runs
+   * @param waiting calls in its queue
+   * @return true if the order would refuse no call, or cannot wait any longer
+   */
+  public static boolean isDrained(long sinceMillis, int running, int waiting) {
+    return running + waiting == 0
+        || (waiting == 0 && sinceMillis >= ANNOUNCED_MILLIS)
+        || sinceMillis >= LONGEST_DRAIN_MILLIS;
+  }
+
   /**
    * Chooses.
    *
--- a/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
@@ -64,4 +64,32 @@
     assertThat(weights.wanted("m").since()).isEqualTo(new Moment(5, 5));
     assertThat(weights.wanted("n").version()).isZero();
   }
+
+  @Test
+  void idleEngineChangesAtOnce() {
+    assertThat(RolloutPlan.isDrained(0, 0, 0)).isTrue();
+  }
+
+  /** A loaded engine: eight calls wait when the change is announced, and one begins every 90 ms. */
+  @Test
+  void callsThatWaitBeginBeforeTheEngineChanges() {
+    int waiting = 8;
+    long ordered = -1;
+    for (long since = 0; ordered < 0; since += 90) {
+      if (RolloutPlan.isDrained(since, 10, waiting)) {
+        ordered = since;
+      } else {
+        waiting = Math.max(0, waiting - 1);
+      }
+    }
+    assertThat(waiting).isZero();
+    assertThat(ordered).isLessThan(1_000);
+  }
+
+  @Test
+  void changeIsAnnouncedBeforeItIsOrderedAndNotHeldUpForLong() {
+    assertThat(RolloutPlan.isDrained(500, 10, 0)).isFalse();
+    assertThat(RolloutPlan.isDrained(700, 10, 0)).isTrue();
+    assertThat(RolloutPlan.isDrained(1_500, 10, 40)).isTrue();
+  }
 }
--- a/rig/src/test/java/org/bulrushpier/rig/PartitionsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/PartitionsIntegrationTest.java
@@ -61,7 +61,8 @@
     cut("entry-2", fromPeers, fromPlatform, "");
     awaitLive("entry-1");
     awaitLive("entry-2");
-    assertThat(Services.log(site, "entry-2", "k2", "defect2").isDone()).isTrue();
+    Services.Told healed = Services.log(site, "entry-2", "k2", "defect2");
+    assertThat(healed.isDone()).as(healed.toString()).isTrue();
   }
 
   /** An entry cut off from the platform alone may reach the ledger through the shard's owner. */
