--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheEvents.java
@@ -55,7 +55,7 @@
     this.tables = tables;
   }
 
-  /** Begins to follow holders that became known. */
+  /** Begins to follow stores that became known. */
   void tick() {
     tables
         .configuration()
@@ -89,6 +89,7 @@
     private final Address address;
     private long since;
     private boolean isSilent;
+    private boolean isCrowded;
 
     Follower(CacheStoreState state) {
       this.state = state;
@@ -108,7 +109,7 @@
 
     private void answered(StoreClient.Outcome outcome) {
       if (outcome.status() == TOO_MANY) {
-        rest();
+        crowded();
         return;
       }
       if (!outcome.isOk()) {
@@ -119,6 +120,7 @@
         CacheFormat.Report report = CacheFormat.report(outcome.body(), since);
         since = report.next();
         isSilent = false;
+        isCrowded = false;
         boolean isNew = state.reported(report.epoch(), Steady.millis());
         keep(report);
         if (report.isLost() || (isNew && !report.isFromStart())) {
@@ -163,6 +165,15 @@
       report.events().forEach(e -> state.holds(e.salt(), e.part(), e.tokens()));
     }
 
+    /** The store lives, but has no room for another waiting call; what it told before holds. */
+    private void crowded() {
+      if (!isCrowded) {
+        isCrowded = true;
+        tables.log().event("cache-events-refused", "store", state.store().name());
+      }
+      rest();
+    }
+
     private void rest() {
       tables.loop().after(restMillis(), this::poll);
     }
