Instances stay ready in calm; engines of a silent holder are used again

And when the lease's holder froze for 3 s after announcing three engines, the others left these alone for 4 s, though a holder that does not renew gives no order.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -41,9 +41,6 @@
  */
 final class Exchange {
 
-  /** Taken off the time that a key stays valid, in milliseconds, for the way to the replica. */
-  private static final long REVOCATION_MARGIN_MILLIS = 400;
-
   /** Below this, nothing can be done for the caller any more, in milliseconds. */
   private static final long MIN_LEFT_MILLIS = 15;
 
@@ -107,7 +104,7 @@
     deadlineMillis = arrivedMillis + Math.min(request.waitMillis(), route.timeoutMillis());
     if (!route.isPublic()) {
       long age = tables.configuration().ageMillis(Moment.now());
-      if (age > tables.settings().keyRevocationMillis() - REVOCATION_MARGIN_MILLIS) {
+      if (!tables.keyFreshness().isHonoured(age)) {
         refuse("keys were last confirmed " + age + " ms ago", UNCONFIGURED_RETRY_MILLIS);
         return;
       }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -35,9 +35,6 @@
   /** How often running exchanges look at the clock, in milliseconds. */
   private static final long TICK_MILLIS = 25;
 
-  /** The share of the revocation time after which the instance asks for no new connections. */
-  private static final double READY_SHARE = 0.6;
-
   /** How long the balancer may go on sending connections after a failed readiness check. */
   private static final long BALANCER_MILLIS = 2_500;
 
@@ -50,8 +47,8 @@
   /** How often the settings file is looked at, in milliseconds. */
   private static final long SETTINGS_MILLIS = 2_000;
 
-  /** Readiness and keys hang on the age of the configuration: three fifths of 5 s at most. */
-  private static final StoreWatch.Pace CONFIGURATION_PACE = new StoreWatch.Pace(1_800, 50);
+  /** The pause after a new configuration, in milliseconds: they come in quick succession. */
+  private static final long CONFIGURATION_REST_MILLIS = 50;
 
   /** A leaving replica gets no calls after 2 s; a silent connection is excused for 3 s. */
   private static final StoreWatch.Pace REPLICA_PACE = new StoreWatch.Pace(2_500, 250);
@@ -113,7 +110,11 @@
             "bulrushpier.upstream.connections.opened",
             "Connections opened to upstreams since the start",
             () -> tables.upstreams().opened());
-    watch(StoreFormat.CONFIGURATIONS, CONFIGURATION_PACE, new ConfigurationFollower(tables));
+    long wait = tables.keyFreshness().watchMillis();
+    watch(
+        StoreFormat.CONFIGURATIONS,
+        new StoreWatch.Pace(wait, CONFIGURATION_REST_MILLIS),
+        new ConfigurationFollower(tables));
     watch(StoreFormat.REPLICAS, REPLICA_PACE, new ReplicaFollower(tables));
     watch(StoreFormat.WEIGHTS, WEIGHTS_PACE, new WeightsFollower(tables));
     watch(StoreFormat.LEASES, LEASE_PACE, rollouts);
@@ -174,8 +175,8 @@
   }
 
   private boolean isReady() {
-    long limit = (long) (settings.keyRevocationMillis() * READY_SHARE);
-    boolean isReady = !isLeaving && tables.configuration().ageMillis(Moment.now()) < limit;
+    long age = tables.configuration().ageMillis(Moment.now());
+    boolean isReady = !isLeaving && tables.keyFreshness().isReady(age);
     if (isReady != wasReady) {
       wasReady = isReady;
       tables.log().event(isReady ? "ready" : "not-ready", "leaving", isLeaving);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutKeeper.java
@@ -44,6 +44,12 @@
   /** How long an engine that changes is left alone before a sign of its end, in milliseconds. */
   private static final long CHANGE_MILLIS = 4_000;
 
+  /**
+   * How long other instances leave an engine alone after a record that it changes, in milliseconds:
+   * a few renewals of the lease, without which its holder gives no order.
+   */
+  private static final long ANNOUNCED_MILLIS = 1_200;
+
   /** How long a report may still show the state before an accepted order, in milliseconds. */
   private static final long REPORT_LAG_MILLIS = 800;
 
@@ -233,7 +239,7 @@
       for (String id : record.changing()) {
         Replica engine = tables.replicas().find(id);
         if (engine != null && engine.version(model) < record.version()) {
-          engine.pause(now + CHANGE_MILLIS);
+          engine.pause(now + ANNOUNCED_MILLIS);
         }
       }
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Tables.java
@@ -19,6 +19,7 @@
 import org.bulrushpier.rollout.WantedWeights;
 import org.bulrushpier.settings.GatewaySettings;
 import org.bulrushpier.site.ConfigurationBelief;
+import org.bulrushpier.site.KeyFreshness;
 import org.bulrushpier.site.Service;
 
 /**
@@ -72,6 +73,11 @@
     return settings.get();
   }
 
+  /** How old the configuration may be, by the settings in force. */
+  KeyFreshness keyFreshness() {
+    return KeyFreshness.of(settings().keyRevocationMillis());
+  }
+
   GatewayMetrics metrics() {
     return metrics;
   }
