A further version gives outdated engines no more time

The age of a change was that of the newest version, so that at 29.23 s an engine that still served version 1 was allowed again, 9 s after version 2. Ruled out: a restarted instance without knowledge of when a version was named; a belief that the engine had changed (the request would have been refused by the engine). Change: an engine counts as outdated since the first version seen that is newer than its own. The test fails on the code before.

--- a/library/src/main/java/org/bulrushpier/rollout/WantedWeights.java
+++ b/library/src/main/java/org/bulrushpier/rollout/WantedWeights.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.bulrushpier.Moment;
 
@@ -12,6 +13,9 @@
  */
 public final class WantedWeights {
 
+  /** Versions remembered: more than are named within the time that a change may take. */
+  private static final int HISTORY = 16;
+
   private final Map<String, Named> named = new HashMap<>();
 
   /**
@@ -19,8 +23,41 @@
    *
    * @param version the version
    * @param since a moment at which it was not yet known to be named
+   * @param before the version that was named before it, if that was seen
    */
-  public record Named(int version, Moment since) {}
+  public record Named(int version, Moment since, Optional<Named> before) {
+
+    /**
+     * Creates a version before which none was seen.
+     *
+     * @param version the version
+     * @param since a moment at which it was not yet known to be named
+     */
+    public Named(int version, Moment since) {
+      this(version, since, Optional.empty());
+    }
+
+    /**
+     * Returns since when a served version has been out of date. A further version that is named
+     * while an engine is behind gives it no more time.
+     *
+     * @param served the version that an engine serves, older than this one
+     * @return the moment that belongs to the first version seen that is newer
+     */
+    public Moment outdatedSince(int served) {
+      Named first = this;
+      while (first.before().isPresent() && first.before().get().version() > served) {
+        first = first.before().get();
+      }
+      return first.since();
+    }
+
+    private Named withBefore(Optional<Named> known, int length) {
+      Optional<Named> kept =
+          length == 0 ? Optional.empty() : known.map(k -> k.withBefore(k.before(), length - 1));
+      return new Named(version, since, kept);
+    }
+  }
 
   /**
    * Takes note of a version.
@@ -35,7 +72,7 @@
     if (known != null && known.version() >= version) {
       return false;
     }
-    named.put(model, new Named(version, since));
+    named.put(model, new Named(version, since).withBefore(Optional.ofNullable(known), HISTORY));
     return true;
   }
 
--- a/library/src/main/java/org/bulrushpier/rollout/WeightsWish.java
+++ b/library/src/main/java/org/bulrushpier/rollout/WeightsWish.java
@@ -25,13 +25,13 @@
   /** Older weights are given up this long before the time is over, in milliseconds. */
   private static final long MARGIN_MILLIS = 700;
 
-  private final int version;
-  private final long ageMillis;
+  private final WantedWeights.Named named;
+  private final Moment now;
   private final long limitMillis;
 
-  private WeightsWish(int version, long ageMillis, long limitMillis) {
-    this.version = version;
-    this.ageMillis = ageMillis;
+  private WeightsWish(WantedWeights.Named named, Moment now, long limitMillis) {
+    this.named = named;
+    this.now = now;
     this.limitMillis = limitMillis;
   }
 
@@ -44,8 +44,7 @@
    * @return the wish
    */
   public static WeightsWish of(WantedWeights.Named named, Moment now, long changeMillis) {
-    return new WeightsWish(
-        named.version(), named.since().ageMillis(now), changeMillis - MARGIN_MILLIS);
+    return new WeightsWish(named, now, changeMillis - MARGIN_MILLIS);
   }
 
   /**
@@ -56,7 +55,7 @@
    * @return true if it is new enough, or will begin in time
    */
   public boolean allows(int served, double expectedMillis) {
-    return served >= version || ageMillis + 2 * expectedMillis < limitMillis;
+    return served >= named.version() || outdatedMillis(served) + 2 * expectedMillis < limitMillis;
   }
 
   /**
@@ -66,9 +65,14 @@
    * @return milliseconds of waiting that outweigh it
    */
   public double penaltyMillis(int served) {
-    if (served >= version || ageMillis < GRACE_MILLIS) {
+    if (served >= named.version()) {
       return 0;
     }
-    return OLD_MILLIS + GROWTH * (ageMillis - GRACE_MILLIS);
+    long outdated = outdatedMillis(served);
+    return outdated < GRACE_MILLIS ? 0 : OLD_MILLIS + GROWTH * (outdated - GRACE_MILLIS);
+  }
+
+  private long outdatedMillis(int served) {
+    return named.outdatedSince(served).ageMillis(now);
   }
 }
--- a/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
@@ -92,4 +92,18 @@
     assertThat(RolloutPlan.isDrained(700, 10, 0)).isTrue();
     assertThat(RolloutPlan.isDrained(1_500, 10, 40)).isTrue();
   }
+
+  /** Versions 2 and 3 are named 9 s apart, while some engines still serve version 1. */
+  @Test
+  void furtherVersionGivesOutdatedEnginesNoMoreTime() {
+    WantedWeights weights = new WantedWeights();
+    weights.name("m", 2, new Moment(20_000, 20_000));
+    weights.name("m", 3, new Moment(29_000, 29_000));
+    WeightsWish wish = WeightsWish.of(weights.wanted("m"), new Moment(29_200, 29_200), 8_000);
+
+    assertThat(wish.allows(1, 50)).isFalse();
+    assertThat(wish.allows(2, 50)).isTrue();
+    assertThat(wish.allows(3, 50)).isTrue();
+    assertThat(wish.penaltyMillis(1)).isGreaterThan(wish.penaltyMillis(2));
+  }
 }
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -379,12 +379,14 @@
           """
           {"name":"memory","kv_store_addr":"%s","zone":"norte","kv_capacity":100000,
            "link_mbps":1000.0,"first_ms":0.5,"managed":true},
-          {"name":"plain","""
+          """
               .formatted(cache.address());
       store.put(
           "config",
           "main",
-          CONFIGURATION.formatted(2, "\"key\"").replaceFirst("\\{\"name\":\"plain\",", memory));
+          CONFIGURATION
+              .formatted(2, "\"key\"")
+              .replace("{\"name\":\"plain\",", memory + "{\"name\":\"plain\","));
       await(() -> sources().contains(cache.address().toString()));
       cache.crowd();
       await(() -> cache.refused() > 0);
