Ledger: delete expired objects in log order, and let a claim replace an expired one

Cause: a key's entry took the number of the object that held its result, so prune() saw no young claim in the object of the claims and deleted it; a shard that loaded afterwards accepted a second claim of a finished key. An expired claim that was still in the log also hid the claim that had replaced it. Change: an entry keeps the number of its claim's object; objects are deleted from the oldest on, up to the first one with a young claim, so results and releases outlive their claims; a logged claim replaces the one before it.

--- a/library/src/main/java/org/bulrushpier/ledger/LedgerShard.java
+++ b/library/src/main/java/org/bulrushpier/ledger/LedgerShard.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.bulrushpier.Clock;
 import org.bulrushpier.Codec;
 import org.bulrushpier.platform.ObjectApi;
@@ -50,7 +51,7 @@
   private final Clock clock;
   private final long retentionMillis;
   private final Map<String, Entry> index = new HashMap<>();
-  private final Map<Long, Long> sealedVersions = new HashMap<>();
+  private final TreeMap<Long, Long> sealedVersions = new TreeMap<>();
   private boolean isLoaded;
   private long tailNumber;
   private long tailVersion;
@@ -102,8 +103,11 @@
   }
 
   /**
-   * Deletes the sealed objects whose claims are all older than the retention time, and removes the
-   * keys with such claims from the local index.
+   * Deletes the oldest sealed objects, up to the first one with a claim that is not older than the
+   * retention time, and removes the keys with older claims from the local index.
+   *
+   * <p>Objects are deleted in the order of the log, since results and releases are stored in later
+   * objects than their claims and must not be lost before them.
    *
    * @return the number of deleted objects
    * @throws PlatformUnavailableException if the platform did not answer
@@ -115,11 +119,12 @@
     for (Iterator<Map.Entry<Long, Long>> it = sealedVersions.entrySet().iterator();
         it.hasNext(); ) {
       Map.Entry<Long, Long> sealed = it.next();
-      if (newestClaim(sealed.getKey()) < oldest
-          && api.delete(objectKey(sealed.getKey()), sealed.getValue())) {
-        it.remove();
-        deleted++;
+      if (newestClaim(sealed.getKey()) >= oldest
+          || !api.delete(objectKey(sealed.getKey()), sealed.getValue())) {
+        break;
       }
+      it.remove();
+      deleted++;
     }
     index.values().removeIf(entry -> entry.claim().atMillis() < oldest);
     return deleted;
@@ -151,7 +156,7 @@
 
   private long newestClaim(long number) {
     return index.values().stream()
-        .filter(entry -> entry.segmentNumber() == number)
+        .filter(entry -> entry.claimNumber() == number)
         .mapToLong(entry -> entry.claim().atMillis())
         .max()
         .orElse(Long.MIN_VALUE);
@@ -215,17 +220,20 @@
         && !known.isLost();
   }
 
-  private static Entry apply(LedgerRecord record, Entry known, long segmentNumber) {
+  /**
+   * Returns the state of a key after a record. A claim is only written if its key has no claim or
+   * an expired one, so it replaces any earlier claim.
+   */
+  private static Entry apply(LedgerRecord record, Entry known, long number) {
     return switch (record) {
-      case LedgerRecord.Claim claim ->
-          known == null ? new Entry(claim, Optional.empty(), false, segmentNumber) : known;
+      case LedgerRecord.Claim claim -> new Entry(claim, Optional.empty(), false, number);
       case LedgerRecord.Result result ->
           isOpen(known, result.claimId())
-              ? new Entry(known.claim(), Optional.of(result.outcome()), false, segmentNumber)
+              ? new Entry(known.claim(), Optional.of(result.outcome()), false, known.claimNumber())
               : known;
       case LedgerRecord.Lost lost ->
           isOpen(known, lost.claimId())
-              ? new Entry(known.claim(), Optional.empty(), true, segmentNumber)
+              ? new Entry(known.claim(), Optional.empty(), true, known.claimNumber())
               : known;
       case LedgerRecord.Release release -> isOpen(known, release.claimId()) ? null : known;
     };
@@ -343,6 +351,11 @@
     return Long.parseLong(objectKey.substring(objectKey.lastIndexOf('/') + 1));
   }
 
+  /**
+   * The state of a key.
+   *
+   * @param claimNumber the number of the object that holds the claim
+   */
   private record Entry(
-      LedgerRecord.Claim claim, Optional<Outcome> outcome, boolean isLost, long segmentNumber) {}
+      LedgerRecord.Claim claim, Optional<Outcome> outcome, boolean isLost, long claimNumber) {}
 }
