--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -21,6 +21,7 @@
 import org.bulrushpier.placing.CachePlanner;
 import org.bulrushpier.placing.CacheSalt;
 import org.bulrushpier.placing.Placement;
+import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.ResponseTimeout;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.WeightPreference;
@@ -76,6 +77,7 @@
   private String service = "";
   private long deadlineMillis;
   private Attempt attempt;
+  private Placement.Wait wait;
   private int attempts;
   private int connectFailures;
   private boolean mayHaveRun;
@@ -139,7 +141,55 @@
     return deadlineMillis - MonotonicClock.millis();
   }
 
+  /** Selects an upstream, behind any waiting requests that are at least as urgent. */
   private void place() {
+    if (request.prompt().isPresent() && queue().isAhead(priority())) {
+      await(new Placement.Wait("other requests wait for an engine", REFUSED_RETRY_MILLIS));
+    } else {
+      tryPlace();
+    }
+  }
+
+  private PlacementQueue<Exchange> queue() {
+    return context.placementQueue(service);
+  }
+
+  private int priority() {
+    return holder.effectivePriority(route);
+  }
+
+  private void await(Placement.Wait placement) {
+    if (wait == null) {
+      queue().add(this, priority(), route.goalMillis(), MonotonicClock.millis());
+    }
+    wait = placement;
+  }
+
+  /**
+   * Tries to place this request, which waits for an engine.
+   *
+   * @return whether it has left the queue
+   */
+  boolean placeWaiting() {
+    tryPlace();
+    return wait == null;
+  }
+
+  /** Refuses this request, which has left the queue because it waited too long. */
+  void waitExpired() {
+    Placement.Wait expired = wait;
+    wait = null;
+    giveUp(expired.reason(), expired.retryAfterMillis());
+  }
+
+  private void leaveQueue() {
+    if (wait != null) {
+      wait = null;
+      queue().remove(this);
+    }
+  }
+
+  private void tryPlace() {
     long remaining = remainingMillis();
     if (remaining < MIN_REMAINING_MILLIS) {
       giveUp("no time left");
@@ -159,7 +209,11 @@
       placement = context.plainPlacement().choose(usable, triedReplicas, now);
     }
     switch (placement) {
-      case Placement.Send send -> send(send, remaining);
+      case Placement.Send send -> {
+        leaveQueue();
+        send(send, remaining);
+      }
+      case Placement.Wait busy -> await(busy);
       case Placement.Refuse refusal -> giveUp(refusal.reason(), refusal.retryAfterMillis());
     }
   }
@@ -181,6 +235,8 @@
             preference,
             context.cacheStores(),
             triedReplicas,
+            priority(),
+            route.goalMillis(),
             remaining,
             now);
   }
@@ -337,6 +393,7 @@
   private void finish(String outcome) {
     isDone = true;
     attempt = null;
+    leaveQueue();
     context.metrics().outcome(outcome);
   }
 
@@ -377,6 +434,7 @@
       long overdue = now + 2 * Math.max(placement.expectedMillis(), route.goalMillis());
       inFlight =
           new Replica.InFlightRequest(
+              priority(),
               uncached,
               prompt.map(p -> p.totalTokens()).orElse(0),
               placement.cache().transferMillis(),
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -0,0 +1,229 @@
+package org.bulrushpier.daemon.serve;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import org.bulrushpier.Address;
+import org.bulrushpier.BulrushpierException;
+import org.bulrushpier.Codec;
+import org.bulrushpier.MonotonicClock;
+import org.bulrushpier.daemon.net.EventLoop;
+import org.bulrushpier.fleet.FleetMessage;
+import org.bulrushpier.fleet.Membership;
+import org.bulrushpier.fleet.PeerLoads;
+import org.bulrushpier.fleet.UpstreamLoad;
+import org.bulrushpier.replica.Replica;
+import org.bulrushpier.replica.ReplicaTable;
+
+/**
+ * Exchanges load reports and lists of instances with the other instances of the site.
+ *
+ * <p>Uses datagrams: a report is obsolete after a fraction of a second, so a lost one is not worth
+ * a retransmission, and an unreachable instance cannot hold up the others. The interval grows with
+ * the number of instances, which bounds the datagrams that each instance handles per second.
+ *
+ * <p>Thread-safe: datagrams are received on a thread of their own and applied with the loop's lock
+ * held; everything else is guarded by that lock.
+ */
+final class FleetExchange {
+
+  private static final long MIN_INTERVAL_MILLIS = 100;
+
+  private static final long MAX_INTERVAL_MILLIS = 1_000;
+
+  /** The time between two datagrams of this instance, on average, in milliseconds. */
+  private static final long MILLIS_PER_CONTACT = 4;
+
+  /** Interval of the exchange of lists, in milliseconds. */
+  private static final long MEMBERS_INTERVAL_MILLIS = 1_000;
+
+  /** Interval of the exchange of lists until another instance has been found, in milliseconds. */
+  private static final long SEARCH_INTERVAL_MILLIS = 200;
+
+  /** The largest datagram that is received, in bytes. */
+  private static final int MAX_BYTES = 16 * 1_024;
+
+  /** The most upstreams in one report, which keeps it within a datagram. */
+  private static final int MAX_UPSTREAMS = 200;
+
+  private final EventLoop loop;
+  private final ReplicaTable replicas;
+  private final EventLog log;
+  private final Membership membership;
+  private final PeerLoads peerLoads;
+  private final DatagramChannel channel;
+  private final long startMillis = System.currentTimeMillis();
+  private long sequence;
+  private long lastLoadMillis = Long.MIN_VALUE / 2;
+  private long lastMembersMillis = Long.MIN_VALUE / 2;
+  private boolean wasIdle;
+  private int loggedInstances = 1;
+
+  private FleetExchange(
+      EventLoop loop,
+      ReplicaTable replicas,
+      EventLog log,
+      Membership membership,
+      PeerLoads peerLoads,
+      DatagramChannel channel) {
+    this.loop = loop;
+    this.replicas = replicas;
+    this.log = log;
+    this.membership = membership;
+    this.peerLoads = peerLoads;
+    this.channel = channel;
+  }
+
+  /**
+   * Starts the exchange.
+   *
+   * @param address the address of this instance for datagrams
+   * @param context the state of the gateway
+   * @return the running exchange
+   * @throws IOException if the address cannot be bound
+   */
+  static FleetExchange start(Address address, GatewayContext context) throws IOException {
+    DatagramChannel channel = DatagramChannel.open();
+    channel.bind(new InetSocketAddress(address.host(), address.port()));
+    FleetExchange exchange =
+        new FleetExchange(
+            context.loop(),
+            context.replicas(),
+            context.log(),
+            Membership.of(address, context.settings().seeds()),
+            context.peerLoads(),
+            channel);
+    Thread receiver = new Thread(exchange::receiveAll, "fleet");
+    receiver.setDaemon(true);
+    receiver.start();
+    return exchange;
+  }
+
+  /** Returns the number of live instances, this one included. */
+  int liveInstances() {
+    return membership.liveInstances(MonotonicClock.millis());
+  }
+
+  /** Replaces the instances to contact first. */
+  void seeds(Collection<Address> seeds) {
+    membership.seeds(seeds);
+  }
+
+  /** Sends what is due; called at each tick of the gateway. */
+  void tick(long nowMillis) {
+    peerLoads.expire(nowMillis);
+    List<Address> contacts = membership.contacts(nowMillis);
+    long interval =
+        Math.clamp(contacts.size() * MILLIS_PER_CONTACT, MIN_INTERVAL_MILLIS, MAX_INTERVAL_MILLIS);
+    if (nowMillis - lastLoadMillis >= interval) {
+      sendLoad(contacts, nowMillis);
+    }
+    int instances = membership.liveInstances(nowMillis);
+    long membersInterval = instances > 1 ? MEMBERS_INTERVAL_MILLIS : SEARCH_INTERVAL_MILLIS;
+    if (nowMillis - lastMembersMillis >= membersInterval) {
+      lastMembersMillis = nowMillis;
+      membership.expire(nowMillis);
+      membership
+          .nextPartner(ThreadLocalRandom.current())
+          .ifPresent(partner -> sendMembers(partner, true, nowMillis));
+      if (instances != loggedInstances) {
+        log.event("fleet", "instances", instances, "before", loggedInstances);
+        loggedInstances = instances;
+      }
+    }
+  }
+
+  private void sendLoad(List<Address> contacts, long nowMillis) {
+    List<UpstreamLoad> upstreams = new ArrayList<>();
+    for (Replica replica : replicas.all()) {
+      if (replica.ownRequests() > 0 && upstreams.size() < MAX_UPSTREAMS) {
+        upstreams.add(replica.ownLoad());
+      }
+    }
+    boolean isIdle = upstreams.isEmpty();
+    if (isIdle && wasIdle && nowMillis - lastLoadMillis < MAX_INTERVAL_MILLIS) {
+      return;
+    }
+    wasIdle = isIdle;
+    lastLoadMillis = nowMillis;
+    byte[] bytes =
+        Codec.messagePack().write(new FleetMessage.Load(startMillis, ++sequence, upstreams));
+    contacts.forEach(contact -> send(contact, bytes));
+  }
+
+  private void sendMembers(Address to, boolean isReplyExpected, long nowMillis) {
+    List<String> addresses =
+        membership.liveAddresses(nowMillis, ThreadLocalRandom.current());
+    send(to, Codec.messagePack().write(new FleetMessage.Members(isReplyExpected, addresses)));
+  }
+
+  private void send(Address to, byte[] bytes) {
+    try {
+      channel.send(ByteBuffer.wrap(bytes), new InetSocketAddress(to.host(), to.port()));
+    } catch (IOException e) {
+      log.event("datagram-not-sent", "to", to, "detail", e.getMessage());
+    }
+  }
+
+  private void receiveAll() {
+    ByteBuffer buffer = ByteBuffer.allocate(MAX_BYTES);
+    while (channel.isOpen()) {
+      try {
+        buffer.clear();
+        if (channel.receive(buffer) instanceof InetSocketAddress sender) {
+          byte[] bytes = new byte[buffer.flip().remaining()];
+          buffer.get(bytes);
+          received(new Address(sender.getAddress().getHostAddress(), sender.getPort()), bytes);
+        }
+      } catch (IOException e) {
+        loop.run(() -> log.event("datagram-not-received", "detail", e.getMessage()));
+      }
+    }
+  }
+
+  private void received(Address sender, byte[] bytes) {
+    FleetMessage message;
+    try {
+      message = Codec.messagePack().read(bytes, FleetMessage.class);
+    } catch (BulrushpierException e) {
+      loop.run(() -> ignored(sender, e.getMessage()));
+      return;
+    }
+    loop.run(() -> apply(sender, message));
+  }
+
+  private void ignored(Address sender, String detail) {
+    log.event("datagram-ignored", "from", sender, "detail", detail);
+  }
+
+  private void apply(Address sender, FleetMessage message) {
+    long now = MonotonicClock.millis();
+    membership.heard(sender, now);
+    switch (message) {
+      case FleetMessage.Load load -> {
+        if (!peerLoads.record(sender.toString(), load, now)) {
+          ignored(sender, "implausible load");
+        }
+      }
+      case FleetMessage.Members members -> {
+        members.addresses().forEach(address -> learned(sender, address, now));
+        if (members.isReplyExpected()) {
+          sendMembers(sender, false, now);
+        }
+      }
+    }
+  }
+
+  private void learned(Address sender, String address, long nowMillis) {
+    try {
+      membership.learned(Address.parse(address), nowMillis);
+    } catch (IllegalArgumentException e) {
+      ignored(sender, e.getMessage());
+    }
+  }
+}
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bulrushpier.Hash;
@@ -16,6 +17,7 @@
 import org.bulrushpier.daemon.net.InboundRequest;
 import org.bulrushpier.settings.GatewaySettings;
 import org.bulrushpier.site.CallerLimits;
+import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.site.Configuration;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -68,6 +70,7 @@
   private final Set<CallerConnection> connections = new HashSet<>();
   private final RolloutCoordinator rollouts;
   private final CacheStorePoller cacheStorePoller;
+  private FleetExchange fleet;
   private boolean isShuttingDown;
   private long shutdownStartMillis;
   private boolean wasReady;
@@ -91,6 +94,9 @@
     gateway.loop.listen(settings.readyAddress(), gateway.new ReadinessHandler());
     gateway.loop.listen(settings.callerAddress(), gateway.new CallerHandler());
     gateway.loop.listen(settings.metricsAddress(), gateway.new MetricsHandler());
+    if (settings.fleetAddress().isPresent()) {
+      gateway.fleet = FleetExchange.start(settings.fleetAddress().get(), gateway.context);
+    }
     gateway.loop.run(gateway::startWatches);
     return gateway;
   }
@@ -146,6 +152,9 @@
           GatewaySettings newer = file.reread();
           if (newer != null) {
             settings = newer;
+            if (fleet != null) {
+              fleet.seeds(newer.seeds());
+            }
             context.log().event("reloaded", "platform", newer.platformAddress());
           }
         });
@@ -161,6 +170,7 @@
     for (Exchange exchange : exchanges.toArray(new Exchange[0])) {
       exchange.tick(now);
     }
+    context.placementQueues().forEach(queue -> placeWaiting(queue, now));
     exchanges.removeIf(Exchange::isDone);
     connections.removeIf(CallerConnection::isClosed);
     context
@@ -169,12 +179,24 @@
         .forEach(
             id -> context.logChange("replica-gone", id, "not registered again after the outage"));
     cacheStorePoller.tick();
+    if (fleet != null) {
+      fleet.tick(now);
+    }
     if (!isShuttingDown) {
       rollouts.tick();
     }
     loop.after(TICK_MILLIS, this::tick);
   }
 
+  /** Places waiting requests as far as engines can take them, and refuses those that expired. */
+  private static void placeWaiting(PlacementQueue<Exchange> queue, long nowMillis) {
+    queue.removeExpired(nowMillis).forEach(Exchange::waitExpired);
+    Optional<Exchange> head = queue.head();
+    while (head.isPresent() && head.get().placeWaiting()) {
+      head = queue.head();
+    }
+  }
+
   private boolean isReady() {
     long age = context.configuration().ageMillis(Moment.now());
     boolean isReady = !isShuttingDown && context.keyFreshness().isReady(age);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -11,8 +11,10 @@
 import org.bulrushpier.daemon.net.EventLoop;
 import org.bulrushpier.limit.SlidingWindowRetryBudget;
 import org.bulrushpier.placing.CacheStoreState;
+import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.placing.EnginePlacement;
 import org.bulrushpier.placing.PlainPlacement;
+import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.PrefillRate;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.replica.ReplicaTable;
@@ -47,6 +49,7 @@
   private final ReplicaTable replicas = new ReplicaTable();
   private final TargetWeights weights = new TargetWeights();
   private final PrefillRate prefillRate = new PrefillRate();
+  private final PeerLoads peerLoads = new PeerLoads();
   private final EnginePlacement enginePlacement;
   private final PlainPlacement plainPlacement;
   private final ConnectionPool upstreamPool;
@@ -56,12 +59,13 @@
   private final Set<Replica> unverified = new HashSet<>();
   private final EventLog log = new EventLog();
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
+  private final Map<String, PlacementQueue<Exchange>> placementQueues = new HashMap<>();
 
   GatewayContext(EventLoop loop, Supplier<GatewaySettings> settings) {
     this.loop = loop;
     this.settings = settings;
-    enginePlacement = EnginePlacement.of(settings.get().domain(), prefillRate);
-    plainPlacement = PlainPlacement.of(settings.get().domain());
+    enginePlacement = EnginePlacement.of(settings.get().domain(), prefillRate, peerLoads);
+    plainPlacement = PlainPlacement.of(settings.get().domain(), peerLoads);
     upstreamPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     controlPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     client = new ControlClient(loop, controlPool);
@@ -100,6 +104,11 @@
     return prefillRate;
   }
 
+  /** Returns the load that other instances put on upstreams. */
+  PeerLoads peerLoads() {
+    return peerLoads;
+  }
+
   EnginePlacement enginePlacement() {
     return enginePlacement;
   }
@@ -147,6 +156,15 @@
     return unverified;
   }
 
+  /** Returns the requests that wait for an engine of a service. */
+  PlacementQueue<Exchange> placementQueue(String service) {
+    return placementQueues.computeIfAbsent(service, name -> new PlacementQueue<>());
+  }
+
+  Collection<PlacementQueue<Exchange>> placementQueues() {
+    return placementQueues.values();
+  }
+
   /** Returns this instance's share of the retries allowed for a service. */
   SlidingWindowRetryBudget retryBudget(String service) {
     return retryBudgets.computeIfAbsent(
--- /dev/null
+++ b/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
@@ -0,0 +1,51 @@
+package org.bulrushpier.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+
+/**
+ * A datagram between two instances of a site. Datagrams may be lost, duplicated or reordered.
+ *
+ * <p>Implementations are immutable and thread-safe.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = FleetMessage.Load.class, name = "l"),
+  @JsonSubTypes.Type(value = FleetMessage.Members.class, name = "m")
+})
+public sealed interface FleetMessage {
+
+  /**
+   * The requests that the sender has in flight, which replace those of its earlier messages.
+   *
+   * @param startMillis the wall-clock time at which the sender started, in Unix milliseconds
+   * @param sequence the number of the message since the start of the sender
+   * @param upstreams the load on each upstream with requests in flight
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Load(long startMillis, long sequence, List<UpstreamLoad> upstreams)
+      implements FleetMessage {
+
+    /** Copies the list. */
+    public Load {
+      upstreams = List.copyOf(upstreams);
+    }
+  }
+
+  /**
+   * Instances that the sender has heard from recently.
+   *
+   * @param isReplyExpected whether the receiver should answer with the instances that it knows
+   * @param addresses their addresses as IP:port
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Members(boolean isReplyExpected, List<String> addresses) implements FleetMessage {
+
+    /** Copies the list. */
+    public Members {
+      addresses = List.copyOf(addresses);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/bulrushpier/fleet/Membership.java
@@ -0,0 +1,192 @@
+package org.bulrushpier.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import org.bulrushpier.Address;
+
+/**
+ * The instances of the site that this instance knows, learned from a few configured seeds and from
+ * each other.
+ *
+ * <p>Instances exchange their lists in pairs. An instance that is not heard from is contacted for a
+ * while and then only now and then, so that both sides of a network partition find each other again
+ * afterwards even if all seeds have been replaced.
+ *
+ * <p>Not thread-safe; guarded by the lock of the gateway's event loop.
+ */
+public final class Membership {
+
+  /** How long after its last datagram an instance is considered live, in milliseconds. */
+  static final long LIVE_MILLIS = 3_000;
+
+  /** How long an instance that was heard of but not from gets load reports, in milliseconds. */
+  static final long CONTACT_MILLIS = 10_000;
+
+  /** How long an instance is remembered after it was last heard from, in milliseconds. */
+  static final long MEMORY_MILLIS = 600_000;
+
+  /** The largest list that is sent, so that it fits into a datagram. */
+  static final int MAX_LIST = 60;
+
+  /** The largest number of instances that is remembered. */
+  static final int MAX_KNOWN = 2_000;
+
+  private record Peer(long heardMillis, long learnedMillis) {
+    private boolean isLive(long nowMillis) {
+      return nowMillis - heardMillis <= LIVE_MILLIS;
+    }
+
+    private boolean isContacted(long nowMillis) {
+      return nowMillis - Math.max(heardMillis, learnedMillis) <= CONTACT_MILLIS;
+    }
+  }
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final Address self;
+  private final Set<Address> seeds = new TreeSet<>(ORDER);
+  private final Map<Address, Peer> peers = new HashMap<>();
+
+  private static final java.util.Comparator<Address> ORDER =
+      java.util.Comparator.comparing(Address::host).thenComparingInt(Address::port);
+
+  private Membership(Address self) {
+    this.self = self;
+  }
+
+  /**
+   * Creates a list that knows only the seeds.
+   *
+   * @param self the address of this instance
+   * @param seeds the addresses of instances to contact first
+   * @return the list
+   */
+  public static Membership of(Address self, Collection<Address> seeds) {
+    Membership membership = new Membership(self);
+    membership.seeds(seeds);
+    return membership;
+  }
+
+  /**
+   * Replaces the seeds.
+   *
+   * @param newSeeds the addresses of instances to contact first
+   */
+  public void seeds(Collection<Address> newSeeds) {
+    seeds.clear();
+    seeds.addAll(newSeeds);
+    seeds.remove(self);
+  }
+
+  /**
+   * Records a datagram from an instance.
+   *
+   * @param address the instance
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void heard(Address address, long nowMillis) {
+    if (!address.equals(self) && (peers.containsKey(address) || peers.size() < MAX_KNOWN)) {
+      peers.merge(
+          address,
+          new Peer(nowMillis, nowMillis),
+          (known, heard) -> new Peer(nowMillis, known.learnedMillis));
+    }
+  }
+
+  /**
+   * Records that an instance was mentioned by another one.
+   *
+   * @param address the instance
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void learned(Address address, long nowMillis) {
+    if (!address.equals(self) && peers.size() < MAX_KNOWN) {
+      peers.putIfAbsent(address, new Peer(NEVER, nowMillis));
+    }
+  }
+
+  /**
+   * Forgets instances that have not been heard from for a long time.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void expire(long nowMillis) {
+    peers
+        .values()
+        .removeIf(
+            peer ->
+                nowMillis - Math.max(peer.heardMillis, peer.learnedMillis) > MEMORY_MILLIS);
+  }
+
+  /**
+   * Returns the number of live instances, this one included.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the number, at least 1
+   */
+  public int liveInstances(long nowMillis) {
+    return 1 + (int) peers.values().stream().filter(peer -> peer.isLive(nowMillis)).count();
+  }
+
+  /**
+   * Returns the instances that get load reports.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the instances that were heard from or heard of recently
+   */
+  public List<Address> contacts(long nowMillis) {
+    List<Address> contacts = new ArrayList<>();
+    peers.forEach(
+        (address, peer) -> {
+          if (peer.isContacted(nowMillis)) {
+            contacts.add(address);
+          }
+        });
+    return contacts;
+  }
+
+  /**
+   * Selects the instance to exchange lists with next.
+   *
+   * @param random the source of randomness
+   * @return any seed or remembered instance, or empty if there is none
+   */
+  public Optional<Address> nextPartner(RandomGenerator random) {
+    List<Address> candidates = new ArrayList<>(seeds);
+    peers.keySet().stream().filter(address -> !seeds.contains(address)).forEach(candidates::add);
+    return candidates.isEmpty()
+        ? Optional.empty()
+        : Optional.of(candidates.get(random.nextInt(candidates.size())));
+  }
+
+  /**
+   * Returns the live instances as they are sent to another one, in random order if there are more
+   * than fit into a datagram.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @param random the source of randomness
+   * @return the addresses as text
+   */
+  public List<String> liveAddresses(long nowMillis, RandomGenerator random) {
+    List<String> live = new ArrayList<>();
+    peers.forEach(
+        (address, peer) -> {
+          if (peer.isLive(nowMillis)) {
+            live.add(address.toString());
+          }
+        });
+    if (live.size() <= MAX_LIST) {
+      return live;
+    }
+    Collections.shuffle(live, java.util.Random.from(random));
+    return live.subList(0, MAX_LIST);
+  }
+}
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.IntFunction;
 import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.WeightPreference;
 import org.bulrushpier.routing.Rendezvous;
@@ -40,12 +41,6 @@
   /** The cost of crossing failure domains, in tokens: about a millisecond of prefill. */
   private static final int CROSSING_COST_TOKENS = 60;
 
-  /**
-   * The size assumed for each reported request of another instance, in tokens, as its real size is
-   * not known.
-   */
-  private static final int OTHER_REQUEST_TOKENS = 1_500;
-
   /**
    * The cost of repeating the prefill of a shared token, in addition to its duration, in
    * milliseconds.
@@ -83,18 +78,30 @@
    */
   private static final double DELAY_PER_REQUEST_MILLIS = 0.6;
 
-  /** The share of an engine's memory up to which requests are planned. */
-  private static final double MAX_MEMORY_SHARE = 0.95;
+  /**
+   * The wait that is accepted for a request whose own prefill already takes most of its latency
+   * objective, as a share of the objective. Without it, only long prompts would be held back.
+   */
+  private static final double MIN_WAIT_SHARE = 0.5;
+
+  /**
+   * The memory up to which requests are planned, as a share of an engine's memory. It may exceed 1
+   * since requests have prompt parts in common and need the memory of their output only at the end.
+   */
+  private static final double MAX_MEMORY_SHARE = 1.05;
 
   /** The lower bound of the retry delay given to callers, in milliseconds. */
   private static final long MIN_RETRY_MILLIS = 100;
 
   private final String domain;
   private final PrefillRate rate;
+  private final PeerLoads peers;
+  private final RequestSizes sizes = new RequestSizes();
 
-  private EnginePlacement(String domain, PrefillRate rate) {
+  private EnginePlacement(String domain, PrefillRate rate, PeerLoads peers) {
     this.domain = domain;
     this.rate = rate;
+    this.peers = peers;
   }
 
   /**
@@ -102,10 +109,11 @@
    *
    * @param domain the failure domain of the instance
    * @param rate the learned prefill rate
+   * @param peers the load of the other instances
    * @return the policy
    */
-  public static EnginePlacement of(String domain, PrefillRate rate) {
-    return new EnginePlacement(domain, rate);
+  public static EnginePlacement of(String domain, PrefillRate rate, PeerLoads peers) {
+    return new EnginePlacement(domain, rate, peers);
   }
 
   /**
@@ -118,9 +126,12 @@
    * @param weights the preference for new weights
    * @param stores the cache stores
    * @param excluded the ids of replicas to which this request was already sent
+   * @param priority the priority of the request, 0 being the most urgent
+   * @param goalMillis the time within which the caller expects the first token, in milliseconds
    * @param leftMillis the time that remains until the caller's deadline, in milliseconds
    * @param nowMillis the current monotonic time, in milliseconds
-   * @return the selected engine, or a refusal
+   * @return the selected engine, a wait if it is saturated, or a refusal if it cannot start the
+   *     request before the deadline
    */
   public Placement choose(
       PromptShape prompt,
@@ -130,13 +141,17 @@
       WeightPreference weights,
       Collection<CacheStoreState> stores,
       Set<String> excluded,
+      int priority,
+      long goalMillis,
       long leftMillis,
       long nowMillis) {
     Replica best = null;
     CachePlan bestPlan = CachePlan.EMPTY;
     double bestCost = Double.MAX_VALUE;
     double bestMillis = Double.MAX_VALUE;
+    double bestWait = 0;
     String home = home(prompt, engines);
+    sizes.sampleInFlight(engines);
     Map<Integer, PartSources> sources = new HashMap<>();
     for (Replica engine : engines) {
       if (excluded.contains(engine.entry().id())) {
@@ -148,7 +163,9 @@
           sources.computeIfAbsent(
               version, v -> PartSources.of(prompt.parts(), salt, stores, nowMillis));
       CachePlan plan = CachePlanner.plan(prompt, salt, service, engine, versionSources);
-      double millis = predict(prompt, service, engine, plan, nowMillis);
+      double own = rate.millis(plan.prefillTokens()) + plan.transferMillis();
+      double wait = predictWait(prompt, service, engine, priority, nowMillis);
+      double millis = own + wait + faultCost(engine, nowMillis);
       if (!weights.allows(version, millis)) {
         continue;
       }
@@ -168,6 +185,7 @@
         best = engine;
         bestCost = cost;
         bestMillis = millis;
+        bestWait = wait;
         bestPlan = plan;
       }
     }
@@ -178,35 +196,59 @@
       long wait = Math.max(MIN_RETRY_MILLIS, (long) (bestMillis - leftMillis));
       return new Placement.Refuse("predicted first token after " + (long) bestMillis + " ms", wait);
     }
+    double ownMillis = rate.millis(bestPlan.prefillTokens()) + bestPlan.transferMillis();
+    double limit = Math.max(goalMillis - ownMillis, goalMillis * MIN_WAIT_SHARE);
+    if (bestWait > limit) {
+      String reason = "predicted wait at the best engine is " + (long) bestWait + " ms";
+      return new Placement.Wait(reason, Math.max(MIN_RETRY_MILLIS, (long) (bestWait - limit)));
+    }
+    sizes.samplePrefill(bestPlan.prefillTokens());
     return new Placement.Send(best, bestPlan, (long) Math.ceil(bestMillis));
   }
 
-  private double predict(
-      PromptShape prompt, Service.Engines service, Replica engine, CachePlan plan, long nowMillis) {
-    int others = engine.otherRequests(nowMillis, LOAD_VALIDITY_MILLIS);
-    int othersWaiting = Math.min(others, engine.reportedLoad().waiting());
+  /**
+   * Predicts how long a request waits at an engine before its own prefill begins, in milliseconds.
+   * Less urgent requests are not counted, as the engine serves them later.
+   */
+  private double predictWait(
+      PromptShape prompt, Service.Engines service, Replica engine, int priority, long nowMillis) {
+    PeerLoads.Total known = peers.at(engine.entry().id(), priority);
+    int unknown = unknownRequests(engine, known, nowMillis);
+    int unknownWaiting = Math.min(unknown, engine.reportedLoad().waiting());
     double pendingTokens =
-        engine.pendingPrefillTokens()
-            + (double) othersWaiting * OTHER_REQUEST_TOKENS
-            + plan.prefillTokens();
+        engine.pendingPrefillTokens(priority)
+            + known.pendingTokens()
+            + unknownWaiting * sizes.prefillTokens();
+    int requests = engine.ownRequests() + known.requests() + unknown;
     double millis =
         rate.millis(pendingTokens)
-            + plan.transferMillis()
             + engine.transferMillis()
-            + (engine.ownRequests() + others) * DELAY_PER_REQUEST_MILLIS;
+            + requests * DELAY_PER_REQUEST_MILLIS;
     double held =
-        engine.reservedTokens() + (double) others * OTHER_REQUEST_TOKENS + prompt.totalTokens();
+        engine.reservedTokens()
+            + known.memoryTokens()
+            + unknown * sizes.memoryTokens()
+            + prompt.totalTokens();
     double memoryLimit = service.memoryTokens() * MAX_MEMORY_SHARE;
     if (held > memoryLimit) {
       millis += CAPACITY_WAIT_MILLIS * held / memoryLimit;
     }
-    int requests = engine.ownRequests() + others;
     if (service.slots() > 0 && requests >= service.slots()) {
       millis += CAPACITY_WAIT_MILLIS * (requests + 1 - service.slots()) / service.slots();
     }
+    return millis;
+  }
+
+  /** Estimates the requests at an engine that belong to instances whose load is not known. */
+  private static int unknownRequests(Replica engine, PeerLoads.Total known, long nowMillis) {
+    int others = engine.otherRequests(nowMillis, LOAD_VALIDITY_MILLIS);
+    return Math.max(0, others - known.requests());
+  }
+
+  /** Returns the cost of an engine that may not answer, in milliseconds. */
+  private static double faultCost(Replica engine, long nowMillis) {
     double failures = Math.max(0, engine.failureShare(nowMillis) - TOLERATED_FAILURE_SHARE);
-    return millis
-        + engine.overdueRequests(nowMillis) * OVERDUE_COST_MILLIS
+    return engine.overdueRequests(nowMillis) * OVERDUE_COST_MILLIS
         + failures * FAILURE_COST_MILLIS
         + (engine.isUnreachable(nowMillis) ? UNREACHABLE_COST_MILLIS : 0);
   }
--- a/library/src/main/java/org/bulrushpier/placing/Placement.java
+++ b/library/src/main/java/org/bulrushpier/placing/Placement.java
@@ -19,6 +19,14 @@
    */
   record Send(Replica replica, CachePlan cache, long expectedMillis) implements Placement {}
 
+  /**
+   * Every suitable engine is saturated; the request may wait for one at this instance.
+   *
+   * @param reason the reason, which is returned to the caller if the wait is in vain
+   * @param retryAfterMillis the time until capacity is expected, in milliseconds
+   */
+  record Wait(String reason, long retryAfterMillis) implements Placement {}
+
   /**
    * The request cannot be served in time and is rejected without being executed.
    *
--- /dev/null
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
@@ -0,0 +1,119 @@
+package org.bulrushpier.placing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * The requests of one service that wait at this instance because every suitable engine is
+ * saturated.
+ *
+ * <p>Designed for bursts just above what the engines can take: a short queue here keeps them from
+ * building up a queue in the engines, where waiting requests displace cached parts and each request
+ * then needs more work than before. If the load does not fall, a queue only adds delay. Once the
+ * queue has not been empty for {@value #STANDING_MILLIS} ms, the permitted wait therefore shrinks
+ * (controlled delay), and requests that exceed it are refused.
+ *
+ * <p>Invariant: requests leave in order of priority and, within a priority, of arrival. Not
+ * thread-safe; guarded by the lock of the gateway's event loop.
+ *
+ * @param <T> the type of the requests
+ */
+public final class PlacementQueue<T> {
+
+  /** How long a queue must have existed to be considered standing, in milliseconds. */
+  static final long STANDING_MILLIS = 1_000;
+
+  /** The longest wait in a short-lived queue, as a multiple of the request's latency objective. */
+  private static final double BURST_WAIT_FACTOR = 1.0;
+
+  /** The longest wait in a standing queue, as a multiple of the request's latency objective. */
+  private static final double STANDING_WAIT_FACTOR = 0.25;
+
+  private record Entry<T>(
+      T request, int priority, long sequence, long queuedMillis, long goalMillis) {}
+
+  private final TreeSet<Entry<T>> entries =
+      new TreeSet<>(
+          Comparator.comparingInt((Entry<T> entry) -> entry.priority)
+              .thenComparingLong(entry -> entry.sequence));
+  private long nextSequence;
+  private long nonEmptySinceMillis;
+
+  /**
+   * Checks whether a new request has to wait behind others.
+   *
+   * @param priority the priority of the new request, 0 being the most urgent
+   * @return true if a request that is at least as urgent is waiting
+   */
+  public boolean isAhead(int priority) {
+    return !entries.isEmpty() && entries.first().priority <= priority;
+  }
+
+  /**
+   * Adds a request.
+   *
+   * @param request the request
+   * @param priority its priority, 0 being the most urgent
+   * @param goalMillis its latency objective, in milliseconds
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void add(T request, int priority, long goalMillis, long nowMillis) {
+    if (entries.isEmpty()) {
+      nonEmptySinceMillis = nowMillis;
+    }
+    entries.add(new Entry<>(request, priority, nextSequence++, nowMillis, goalMillis));
+  }
+
+  /**
+   * Removes a request, which was placed or has ended.
+   *
+   * @param request the request
+   */
+  public void remove(T request) {
+    entries.removeIf(entry -> entry.request == request);
+  }
+
+  /** Returns the next request to place, or empty if none is waiting. */
+  public Optional<T> head() {
+    return entries.isEmpty() ? Optional.empty() : Optional.of(entries.first().request);
+  }
+
+  /**
+   * Removes the requests that have waited too long.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the removed requests
+   */
+  public List<T> removeExpired(long nowMillis) {
+    boolean isStanding = isStanding(nowMillis);
+    List<T> expired = new ArrayList<>();
+    for (Iterator<Entry<T>> it = entries.iterator(); it.hasNext(); ) {
+      Entry<T> entry = it.next();
+      double factor = isStanding ? STANDING_WAIT_FACTOR : BURST_WAIT_FACTOR;
+      if (nowMillis - entry.queuedMillis > factor * entry.goalMillis) {
+        it.remove();
+        expired.add(entry.request);
+      }
+    }
+    return expired;
+  }
+
+  /**
+   * Checks whether the queue has not been empty for some time.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return true if the load exceeds the capacity and not only for a moment
+   */
+  public boolean isStanding(long nowMillis) {
+    return !entries.isEmpty() && nowMillis - nonEmptySinceMillis > STANDING_MILLIS;
+  }
+
+  /** Returns the number of waiting requests. */
+  public int size() {
+    return entries.size();
+  }
+}
--- a/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.replica.Replica;
 
 /**
@@ -36,19 +37,22 @@
   private static final long RETRY_MILLIS = 100;
 
   private final String domain;
+  private final PeerLoads peers;
 
-  private PlainPlacement(String domain) {
+  private PlainPlacement(String domain, PeerLoads peers) {
     this.domain = domain;
+    this.peers = peers;
   }
 
   /**
    * Creates the placement policy of an instance.
    *
    * @param domain the failure domain of the instance
+   * @param peers the load of the other instances
    * @return the policy
    */
-  public static PlainPlacement of(String domain) {
-    return new PlainPlacement(domain);
+  public static PlainPlacement of(String domain, PeerLoads peers) {
+    return new PlainPlacement(domain, peers);
   }
 
   /**
@@ -68,7 +72,9 @@
       }
       double load =
           replica.ownRequests()
-              + replica.otherRequests(nowMillis, LOAD_VALIDITY_MILLIS)
+              + Math.max(
+                  replica.otherRequests(nowMillis, LOAD_VALIDITY_MILLIS),
+                  peers.at(replica.entry().id(), Integer.MAX_VALUE).requests())
               + replica.overdueRequests(nowMillis) * OVERDUE_COST_SLOTS
               + Math.max(0, replica.failureShare(nowMillis) - TOLERATED_FAILURE_SHARE)
                   * FAILURE_COST_SLOTS;
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -1,8 +1,11 @@
 package org.bulrushpier.replica;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.call.UpstreamResponse.ReportedLoad;
 import org.bulrushpier.limit.CircuitBreaker;
 import org.bulrushpier.placing.CachedParts;
@@ -50,6 +53,7 @@
    * <p>Not thread-safe.
    */
   public static final class InFlightRequest {
+    private final int priority;
     private final int uncachedTokens;
     private final int totalTokens;
     private final double transferMillis;
@@ -60,6 +64,7 @@
     /**
      * Creates the record of a request that is being sent.
      *
+     * @param priority the priority of the request, 0 being the most urgent
      * @param uncachedTokens the prompt tokens that the replica is expected to prefill
      * @param totalTokens the tokens that the request occupies when it ends
      * @param transferMillis how long the transfer of its cached parts takes, in milliseconds
@@ -67,11 +72,13 @@
      * @param overdueMillis the monotonic time after which its response is overdue, in milliseconds
      */
     public InFlightRequest(
+        int priority,
         int uncachedTokens,
         int totalTokens,
         double transferMillis,
         long sentMillis,
         long overdueMillis) {
+      this.priority = priority;
       this.transferMillis = transferMillis;
       this.uncachedTokens = uncachedTokens;
       this.totalTokens = totalTokens;
@@ -342,9 +349,20 @@
 
   /** Returns the number of prompt tokens of this instance's requests that await prefill. */
   public long pendingPrefillTokens() {
+    return pendingPrefillTokens(Integer.MAX_VALUE);
+  }
+
+  /**
+   * Returns the number of prompt tokens that await prefill in this instance's requests that are
+   * served before a new one.
+   *
+   * @param priority the priority of the new request, 0 being the most urgent
+   * @return the tokens of the waiting requests that are at least as urgent
+   */
+  public long pendingPrefillTokens(int priority) {
     long tokens = 0;
     for (InFlightRequest request : inFlight.values()) {
-      if (!request.isStarted) {
+      if (!request.isStarted && request.priority <= priority) {
         tokens += request.uncachedTokens;
       }
     }
@@ -365,6 +383,21 @@
     return millis;
   }
 
+  /** Returns the load that this instance puts on the replica, as it is told to others. */
+  public UpstreamLoad ownLoad() {
+    List<Long> pendingTokens = new ArrayList<>();
+    for (InFlightRequest request : inFlight.values()) {
+      if (!request.isStarted && request.uncachedTokens > 0) {
+        while (pendingTokens.size() <= request.priority) {
+          pendingTokens.add(0L);
+        }
+        pendingTokens.set(
+            request.priority, pendingTokens.get(request.priority) + request.uncachedTokens);
+      }
+    }
+    return new UpstreamLoad(entry.id(), inFlight.size(), reservedTokens(), pendingTokens);
+  }
+
   /** Returns the number of tokens that this instance's requests occupy when they end. */
   public long reservedTokens() {
     long tokens = 0;
--- a/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
+++ b/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
@@ -1,6 +1,8 @@
 package org.bulrushpier.settings;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.bulrushpier.Address;
 import org.bulrushpier.Finding;
 
@@ -15,6 +17,8 @@
  * @param readyAddress the address of the readiness endpoint that the load balancer polls
  * @param metricsAddress the address of the metrics endpoint
  * @param platformAddress the address of the platform's metadata store
+ * @param fleetAddress the address for datagrams of other instances, if the instance exchanges any
+ * @param seeds the addresses of other instances to contact first
  * @param keyRevocationMillis the maximum time that a key may still be accepted after its removal
  * @param shutdownMillis the maximum time from the shutdown request to the end of the process
  * @param retryRatio the retries allowed per request, over all instances
@@ -30,6 +34,8 @@
     Address readyAddress,
     Address metricsAddress,
     Address platformAddress,
+    Optional<Address> fleetAddress,
+    List<Address> seeds,
     long keyRevocationMillis,
     long shutdownMillis,
     double retryRatio,
@@ -43,6 +49,11 @@
   private static final long MAX_SECONDS = 3_600;
   private static final double MAX_RETRIES = 1_000_000;
 
+  /** Copies the list. */
+  public GatewaySettings {
+    seeds = List.copyOf(seeds);
+  }
+
   /**
    * Parses the text of a settings file.
    *
@@ -68,6 +79,16 @@
     return settings;
   }
 
+  /** Reads the hosts of the seeds, which use the same port as this instance. */
+  private static List<Address> seeds(SectionReader reader) {
+    Optional<Address> own = reader.optionalAddress("fleet-address");
+    List<Address> seeds = new ArrayList<>();
+    for (Address listed : reader.addresses("seeds")) {
+      own.ifPresent(address -> seeds.add(new Address(listed.host(), address.port())));
+    }
+    return seeds;
+  }
+
   private static GatewaySettings readGateway(SectionReader reader) {
     return new GatewaySettings(
         reader.text("name"),
@@ -76,6 +97,8 @@
         reader.address("ready-address"),
         reader.address("metrics-address"),
         reader.address("platform-address"),
+        reader.optionalAddress("fleet-address"),
+        seeds(reader),
         reader.integer("key-revocation-ms", 1, MAX_MILLIS, 5_000),
         MILLIS_PER_SECOND * reader.integer("shutdown-seconds", 1, MAX_SECONDS, 8),
         reader.decimal("retry-ratio", 0, 1, 0.2),
--- a/library/src/main/java/org/bulrushpier/settings/SectionReader.java
+++ b/library/src/main/java/org/bulrushpier/settings/SectionReader.java
@@ -1,8 +1,10 @@
 package org.bulrushpier.settings;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import org.bulrushpier.Address;
 import org.bulrushpier.Finding;
@@ -105,6 +107,27 @@
     return new Address("0.0.0.0", 1);
   }
 
+  Optional<Address> optionalAddress(String key) {
+    knownKeys.add(key);
+    return section.values().containsKey(key) ? Optional.of(address(key)) : Optional.empty();
+  }
+
+  /** Returns a list of addresses that are separated by commas and may be empty. */
+  List<Address> addresses(String key) {
+    List<Address> addresses = new ArrayList<>();
+    knownKeys.add(key);
+    for (String text : section.values().getOrDefault(key, "").split(",")) {
+      if (!text.isBlank()) {
+        try {
+          addresses.add(Address.parse(text.strip()));
+        } catch (IllegalArgumentException e) {
+          addFinding(key, e.getMessage());
+        }
+      }
+    }
+    return addresses;
+  }
+
   String keyHash(String key) {
     String value = text(key);
     if (!value.isEmpty() && !value.matches("[0-9a-f]{" + KEY_HASH_DIGITS + "}")) {
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -8,6 +8,7 @@
 import org.bulrushpier.Moment;
 import org.bulrushpier.call.PromptPart;
 import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.TargetWeights;
 import org.bulrushpier.rollout.WeightPreference;
@@ -18,7 +19,7 @@
   private static final long NOW = 50_000;
   private static final WeightPreference ANY_VERSION = preference(0, 0);
 
-  private final EnginePlacement placement = EnginePlacement.of("norte", new PrefillRate());
+  private final EnginePlacement placement = EnginePlacement.of("norte", new PrefillRate(), new PeerLoads());
   private final List<Replica> engines = new ArrayList<>();
 
   EnginePlacementTest() {
@@ -53,6 +54,8 @@
         preference,
         List.of(),
         excluded,
+        0,
+        GOAL_MILLIS,
         left,
         NOW);
   }
@@ -72,7 +75,7 @@
   @Test
   void instancesAgreeOnTheHomeEngineOfNewSession() {
     String first = chosen(prompt("another", 8_000), ANY_VERSION);
-    EnginePlacement elsewhere = EnginePlacement.of("sur", new PrefillRate());
+    EnginePlacement elsewhere = EnginePlacement.of("sur", new PrefillRate(), new PeerLoads());
 
     Placement second =
         elsewhere.choose(
@@ -83,6 +86,8 @@
             ANY_VERSION,
             List.of(),
             Set.of(),
+            0,
+            GOAL_MILLIS,
             5_000,
             NOW);
 
@@ -95,7 +100,7 @@
       PromptShape prompt = prompt("s" + i, 8_000);
       Placement.Send send = (Placement.Send) choose(prompt, ANY_VERSION, Set.of(), 60_000);
       send.replica()
-          .begin("r" + i, new Replica.InFlightRequest(8_000, 8_020, 0, NOW, NOW + 10_000));
+          .begin("r" + i, new Replica.InFlightRequest(0, 8_000, 8_020, 0, NOW, NOW + 10_000));
     }
 
     assertThat(engines).allSatisfy(engine -> assertThat(engine.ownRequests()).isBetween(2, 4));
@@ -105,7 +110,7 @@
   void callThatCannotBeginInTimeIsRefusedWithRetryDelay() {
     for (Replica engine : engines) {
       for (int i = 0; i < 10; i++) {
-        engine.begin("r" + i, new Replica.InFlightRequest(8_000, 8_020, 0, NOW, NOW + 10_000));
+        engine.begin("r" + i, new Replica.InFlightRequest(0, 8_000, 8_020, 0, NOW, NOW + 10_000));
       }
     }
 
@@ -121,7 +126,7 @@
       engines.get(0).recordOutcome(true, NOW);
     }
     engines.get(1).markUnreachable(NOW - 500);
-    engines.get(2).begin("late", new Replica.InFlightRequest(0, 0, 0, NOW - 2_000, NOW - 1_000));
+    engines.get(2).begin("late", new Replica.InFlightRequest(0, 0, 0, 0, NOW - 2_000, NOW - 1_000));
 
     for (int i = 0; i < 40; i++) {
       assertThat(chosen(prompt("s" + i, 2_000), ANY_VERSION)).isIn("e3", "e4", "e5");
@@ -144,7 +149,7 @@
     for (int i = 0; i < 4; i++) {
       engines
           .get(3)
-          .begin("r" + i, new Replica.InFlightRequest(8_000, 8_020, 0, NOW, NOW + 10_000));
+          .begin("r" + i, new Replica.InFlightRequest(0, 8_000, 8_020, 0, NOW, NOW + 10_000));
     }
 
     assertThat(chosen(prompt("s", 800), preference(2, 3_000))).isNotEqualTo("e3");
--- a/library/src/test/java/org/bulrushpier/placing/PlainPlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlainPlacementTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.bulrushpier.call.UpstreamResponse.ReportedLoad;
+import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.replica.Replica;
 import org.junit.jupiter.api.Test;
 
@@ -14,7 +15,7 @@
 
   private final Replica near = Engines.engine("near", "norte");
   private final Replica far = Engines.engine("far", "sur");
-  private final PlainPlacement placement = PlainPlacement.of("norte");
+  private final PlainPlacement placement = PlainPlacement.of("norte", new PeerLoads());
 
   private String chosen() {
     Placement placed = placement.choose(List.of(far, near), Set.of(), NOW);
@@ -35,9 +36,9 @@
 
   @Test
   void replicaWithOverdueCallIsAvoidedBeforeItsBreakerOpens() {
-    near.begin("late", new Replica.InFlightRequest(0, 0, 0, NOW - 400, NOW - 100));
+    near.begin("late", new Replica.InFlightRequest(0, 0, 0, 0, NOW - 400, NOW - 100));
     for (int i = 0; i < 4; i++) {
-      far.begin("r" + i, new Replica.InFlightRequest(0, 0, 0, NOW, NOW + 200));
+      far.begin("r" + i, new Replica.InFlightRequest(0, 0, 0, 0, NOW, NOW + 200));
     }
 
     assertThat(chosen()).isEqualTo("far");
