--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -18,7 +18,6 @@
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.replica.Replica;
-import org.bulrushpier.replica.ReplicaTable;
 
 /**
  * Exchanges load reports and lists of instances with the other instances of the site.
@@ -51,8 +50,8 @@
   /** The most upstreams in one report, which keeps it within a datagram. */
   private static final int MAX_UPSTREAMS = 200;
 
+  private final GatewayContext context;
   private final EventLoop loop;
-  private final ReplicaTable replicas;
   private final EventLog log;
   private final Membership membership;
   private final PeerLoads peerLoads;
@@ -64,18 +63,12 @@
   private boolean wasIdle;
   private int loggedInstances = 1;
 
-  private FleetExchange(
-      EventLoop loop,
-      ReplicaTable replicas,
-      EventLog log,
-      Membership membership,
-      PeerLoads peerLoads,
-      DatagramChannel channel) {
-    this.loop = loop;
-    this.replicas = replicas;
-    this.log = log;
+  private FleetExchange(GatewayContext context, Membership membership, DatagramChannel channel) {
+    this.context = context;
+    this.loop = context.loop();
+    this.log = context.log();
     this.membership = membership;
-    this.peerLoads = peerLoads;
+    this.peerLoads = context.peerLoads();
     this.channel = channel;
   }
 
@@ -91,13 +84,7 @@
     DatagramChannel channel = DatagramChannel.open();
     channel.bind(new InetSocketAddress(address.host(), address.port()));
     FleetExchange exchange =
-        new FleetExchange(
-            context.loop(),
-            context.replicas(),
-            context.log(),
-            Membership.of(address, context.settings().seeds()),
-            context.peerLoads(),
-            channel);
+        new FleetExchange(context, Membership.of(address, context.settings().seeds()), channel);
     Thread receiver = new Thread(exchange::receiveAll, "fleet");
     receiver.setDaemon(true);
     receiver.start();
@@ -124,6 +111,7 @@
       sendLoad(contacts, nowMillis);
     }
     int instances = membership.liveInstances(nowMillis);
+    context.recordInstances(instances);
     long membersInterval = instances > 1 ? MEMBERS_INTERVAL_MILLIS : SEARCH_INTERVAL_MILLIS;
     if (nowMillis - lastMembersMillis >= membersInterval) {
       lastMembersMillis = nowMillis;
@@ -140,7 +128,7 @@
 
   private void sendLoad(List<Address> contacts, long nowMillis) {
     List<UpstreamLoad> upstreams = new ArrayList<>();
-    for (Replica replica : replicas.all()) {
+    for (Replica replica : context.replicas().all()) {
       if (replica.ownRequests() > 0 && upstreams.size() < MAX_UPSTREAMS) {
         upstreams.add(replica.ownLoad());
       }
@@ -157,8 +145,7 @@
   }
 
   private void sendMembers(Address to, boolean isReplyExpected, long nowMillis) {
-    List<String> addresses =
-        membership.liveAddresses(nowMillis, ThreadLocalRandom.current());
+    List<String> addresses = membership.liveAddresses(nowMillis, ThreadLocalRandom.current());
     send(to, Codec.messagePack().write(new FleetMessage.Members(isReplyExpected, addresses)));
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -15,9 +15,9 @@
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.EventLoop;
 import org.bulrushpier.daemon.net.InboundRequest;
+import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.settings.GatewaySettings;
 import org.bulrushpier.site.CallerLimits;
-import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.site.Configuration;
 import org.eclipse.jetty.http.HttpFields;
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -9,12 +9,12 @@
 import java.util.function.Supplier;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
+import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.limit.SlidingWindowRetryBudget;
 import org.bulrushpier.placing.CacheStoreState;
-import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.placing.EnginePlacement;
-import org.bulrushpier.placing.PlainPlacement;
 import org.bulrushpier.placing.PlacementQueue;
+import org.bulrushpier.placing.PlainPlacement;
 import org.bulrushpier.placing.PrefillRate;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.replica.ReplicaTable;
@@ -35,13 +35,6 @@
   /** Maximum time that an idle connection is kept, in milliseconds. */
   private static final long MAX_IDLE_MILLIS = 10_000;
 
-  /**
-   * Number of instances among which the minimum number of retries is divided: the 24 of a grown
-   * site, and some for replacements. An instance does not know how many there are, so each takes
-   * the smaller share.
-   */
-  private static final int RETRY_SHARES = 32;
-
   private final EventLoop loop;
   private final Supplier<GatewaySettings> settings;
   private final GatewayMetrics metrics = new GatewayMetrics();
@@ -59,6 +52,7 @@
   private final Set<Replica> unverified = new HashSet<>();
   private final EventLog log = new EventLog();
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
+  private int mostInstances = 1;
   private final Map<String, PlacementQueue<Exchange>> placementQueues = new HashMap<>();
 
   GatewayContext(EventLoop loop, Supplier<GatewaySettings> settings) {
@@ -167,12 +161,18 @@
 
   /** Returns this instance's share of the retries allowed for a service. */
   SlidingWindowRetryBudget retryBudget(String service) {
-    return retryBudgets.computeIfAbsent(
-        service,
-        name ->
-            SlidingWindowRetryBudget.of(
-                settings().retryRatio(),
-                settings().retryMinimum() / RETRY_SHARES,
-                settings().retryWindowMillis()));
+    SlidingWindowRetryBudget budget =
+        retryBudgets.computeIfAbsent(
+            service,
+            name ->
+                SlidingWindowRetryBudget.of(
+                    settings().retryRatio(), 0, settings().retryWindowMillis()));
+    budget.minimum(SlidingWindowRetryBudget.minimumShare(settings().retryMinimum(), mostInstances));
+    return budget;
+  }
+
+  /** Records the number of live instances, among which the minimum number of retries is divided. */
+  void recordInstances(int instances) {
+    mostInstances = Math.max(mostInstances, instances);
   }
 }
--- a/library/src/main/java/org/bulrushpier/fleet/Membership.java
+++ b/library/src/main/java/org/bulrushpier/fleet/Membership.java
@@ -122,8 +122,7 @@
     peers
         .values()
         .removeIf(
-            peer ->
-                nowMillis - Math.max(peer.heardMillis, peer.learnedMillis) > MEMORY_MILLIS);
+            peer -> nowMillis - Math.max(peer.heardMillis, peer.learnedMillis) > MEMORY_MILLIS);
   }
 
   /**
--- a/library/src/main/java/org/bulrushpier/fleet/PeerLoads.java
+++ b/library/src/main/java/org/bulrushpier/fleet/PeerLoads.java
@@ -56,8 +56,7 @@
     }
     remove(sender);
     List<UpstreamLoad> upstreams = load.upstreams();
-    reports.put(
-        sender, new Report(load.startMillis(), load.sequence(), nowMillis));
+    reports.put(sender, new Report(load.startMillis(), load.sequence(), nowMillis));
     for (UpstreamLoad upstream : upstreams) {
       loads.computeIfAbsent(upstream.upstream(), id -> new HashMap<>()).put(sender, upstream);
     }
--- a/library/src/main/java/org/bulrushpier/limit/SlidingWindowRetryBudget.java
+++ b/library/src/main/java/org/bulrushpier/limit/SlidingWindowRetryBudget.java
@@ -13,11 +13,23 @@
 public final class SlidingWindowRetryBudget {
 
   private final double ratio;
-  private final double minimum;
+  private double minimum;
   private final long windowMillis;
   private final ArrayDeque<Long> firstAttempts = new ArrayDeque<>();
   private final ArrayDeque<Long> retries = new ArrayDeque<>();
 
+  /**
+   * The number of instances that is assumed until more are known. An instance that has just started
+   * or is cut off must not take too large a share.
+   */
+  private static final int MIN_INSTANCES = 16;
+
+  /**
+   * The part of the minimum that is divided among the instances. The rest covers windows that end
+   * at different times at different instances.
+   */
+  private static final double DIVIDED_PART = 0.5;
+
   private SlidingWindowRetryBudget(double ratio, double minimum, long windowMillis) {
     this.ratio = ratio;
     this.minimum = minimum;
@@ -36,6 +48,27 @@
     return new SlidingWindowRetryBudget(ratio, minimum, windowMillis);
   }
 
+  /**
+   * Returns one instance's share of the minimum that all instances may use together.
+   *
+   * @param minimum the number of retries allowed in a window in addition to the ratio, over all
+   *     instances
+   * @param instances the largest number of instances that has been seen
+   * @return the share, at most 1/{@code instances} of the minimum
+   */
+  public static double minimumShare(double minimum, int instances) {
+    return minimum * DIVIDED_PART / Math.max(MIN_INSTANCES, instances);
+  }
+
+  /**
+   * Changes the number of retries allowed in a window without first attempts.
+   *
+   * @param newMinimum the number
+   */
+  public void minimum(double newMinimum) {
+    minimum = newMinimum;
+  }
+
   /**
    * Records the first attempt of a request.
    *
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -221,9 +221,7 @@
             + unknownWaiting * sizes.prefillTokens();
     int requests = engine.ownRequests() + known.requests() + unknown;
     double millis =
-        rate.millis(pendingTokens)
-            + engine.transferMillis()
-            + requests * DELAY_PER_REQUEST_MILLIS;
+        rate.millis(pendingTokens) + engine.transferMillis() + requests * DELAY_PER_REQUEST_MILLIS;
     double held =
         engine.reservedTokens()
             + known.memoryTokens()
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -5,8 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.call.UpstreamResponse.ReportedLoad;
+import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.limit.CircuitBreaker;
 import org.bulrushpier.placing.CachedParts;
 
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/fleet/MembershipTest.java
@@ -0,0 +1,119 @@
+package org.bulrushpier.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import org.bulrushpier.Address;
+import org.junit.jupiter.api.Test;
+
+/** Plays the exchange of lists between instances, with cuts and replaced seeds. */
+class MembershipTest {
+
+  private static final long ROUND_MILLIS = 1_000;
+
+  private final Random random = new Random(3);
+  private final Map<Address, Membership> instances = new HashMap<>();
+  private long now;
+
+  private static Address address(int number) {
+    return new Address("10.0." + number / 200 + "." + (1 + number % 200), 7_000);
+  }
+
+  private void start(int from, int to, List<Address> seeds) {
+    for (int i = from; i < to; i++) {
+      instances.put(address(i), Membership.of(address(i), seeds));
+    }
+  }
+
+  private void play(int rounds, BiPredicate<Address, Address> isReachable) {
+    for (int round = 0; round < rounds; round++) {
+      now += ROUND_MILLIS;
+      for (Map.Entry<Address, Membership> entry : List.copyOf(instances.entrySet())) {
+        Optional<Address> partner = entry.getValue().nextPartner(random);
+        if (partner.isPresent()
+            && instances.containsKey(partner.get())
+            && isReachable.test(entry.getKey(), partner.get())) {
+          deliver(entry.getKey(), partner.get());
+          deliver(partner.get(), entry.getKey());
+        }
+        // Load reports show that an instance is live.
+        for (Address contact : entry.getValue().contacts(now)) {
+          if (instances.containsKey(contact) && isReachable.test(entry.getKey(), contact)) {
+            instances.get(contact).heard(entry.getKey(), now);
+          }
+        }
+      }
+    }
+  }
+
+  private void deliver(Address from, Address to) {
+    Membership receiver = instances.get(to);
+    receiver.heard(from, now);
+    for (String known : instances.get(from).liveAddresses(now, random)) {
+      receiver.learned(Address.parse(known), now);
+    }
+  }
+
+  private List<Integer> liveCounts() {
+    List<Integer> counts = new ArrayList<>();
+    instances.values().forEach(membership -> counts.add(membership.liveInstances(now)));
+    return counts;
+  }
+
+  @Test
+  void instancesFindEachOtherThroughSeeds() {
+    start(0, 40, List.of(address(0), address(1), address(2)));
+    play(8, (from, to) -> true);
+
+    assertThat(liveCounts()).containsOnly(40);
+  }
+
+  @Test
+  void listsThatDoNotFitIntoDatagramSpreadAllTheSame() {
+    start(0, 300, List.of(address(0), address(1), address(2)));
+    play(30, (from, to) -> true);
+
+    assertThat(liveCounts()).containsOnly(300);
+  }
+
+  @Test
+  void bothSidesOfPartitionFindEachOtherAgainAfterSeedsWereReplaced() {
+    start(0, 12, List.of(address(0), address(1)));
+    play(8, (from, to) -> true);
+    BiPredicate<Address, Address> cut = (from, to) -> from.hashCode() % 2 == to.hashCode() % 2;
+    play(30, cut);
+    assertThat(liveCounts()).allMatch(count -> count < 12);
+    instances.remove(address(0));
+    instances.remove(address(1));
+    play(60, (from, to) -> true);
+
+    assertThat(liveCounts()).containsOnly(10);
+  }
+
+  @Test
+  void instanceThatEndedIsNoLongerLiveAndNoLongerContacted() {
+    start(0, 5, List.of(address(0)));
+    play(8, (from, to) -> true);
+    instances.remove(address(4));
+    play(14, (from, to) -> true);
+
+    assertThat(liveCounts()).containsOnly(4);
+    assertThat(instances.get(address(1)).contacts(now)).doesNotContain(address(4)).hasSize(3);
+  }
+
+  @Test
+  void ownAddressIsNotMember() {
+    Membership membership = Membership.of(address(0), List.of(address(0)));
+    membership.heard(address(0), 0);
+    membership.learned(address(0), 0);
+
+    assertThat(membership.liveInstances(0)).isEqualTo(1);
+    assertThat(membership.nextPartner(random)).isEmpty();
+  }
+}
--- a/library/src/test/java/org/bulrushpier/limit/SlidingWindowRetryBudgetTest.java
+++ b/library/src/test/java/org/bulrushpier/limit/SlidingWindowRetryBudgetTest.java
@@ -39,4 +39,28 @@
       }
     }
   }
+
+  /**
+   * A site with more instances than assumed once spent more than the minimum: 1,514 retries in 10 s
+   * where 1,497 were allowed.
+   */
+  @Property
+  void sharesOfAllInstancesStayWithinMinimumOfSite(
+      @ForAll @IntRange(min = 1, max = 400) int count) {
+    double minimum = 216;
+    int retries = 0;
+    int firstAttempts = 0;
+    for (int i = 0; i < count; i++) {
+      SlidingWindowRetryBudget budget = SlidingWindowRetryBudget.of(RATIO, 0, WINDOW_MILLIS);
+      budget.minimum(SlidingWindowRetryBudget.minimumShare(minimum, count));
+      for (int request = 0; request < 37; request++) {
+        budget.recordFirstAttempt(request);
+        firstAttempts++;
+      }
+      while (budget.tryRetry(100)) {
+        retries++;
+      }
+    }
+    assertThat((double) retries).isLessThanOrEqualTo(RATIO * firstAttempts + minimum);
+  }
 }
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -8,7 +8,9 @@
 import org.bulrushpier.Moment;
 import org.bulrushpier.call.PromptPart;
 import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.fleet.FleetMessage;
 import org.bulrushpier.fleet.PeerLoads;
+import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.TargetWeights;
 import org.bulrushpier.rollout.WeightPreference;
@@ -19,7 +21,10 @@
   private static final long NOW = 50_000;
   private static final WeightPreference ANY_VERSION = preference(0, 0);
 
-  private final EnginePlacement placement = EnginePlacement.of("norte", new PrefillRate(), new PeerLoads());
+  private static final long GOAL_MILLIS = 600;
+
+  private final PeerLoads peers = new PeerLoads();
+  private final EnginePlacement placement = EnginePlacement.of("norte", new PrefillRate(), peers);
   private final List<Replica> engines = new ArrayList<>();
 
   EnginePlacementTest() {
@@ -46,6 +51,16 @@
 
   private Placement choose(
       PromptShape prompt, WeightPreference preference, Set<String> excluded, long left) {
+    return choose(prompt, preference, excluded, 0, GOAL_MILLIS, left);
+  }
+
+  private Placement choose(
+      PromptShape prompt,
+      WeightPreference preference,
+      Set<String> excluded,
+      int priority,
+      long goal,
+      long left) {
     return placement.choose(
         prompt,
         version -> new CacheSalt("m", version, "").text(),
@@ -54,8 +69,8 @@
         preference,
         List.of(),
         excluded,
-        0,
-        GOAL_MILLIS,
+        priority,
+        goal,
         left,
         NOW);
   }
@@ -98,7 +113,8 @@
   void burstOfLongPromptsSpreadsOverAllEngines() {
     for (int i = 0; i < 18; i++) {
       PromptShape prompt = prompt("s" + i, 8_000);
-      Placement.Send send = (Placement.Send) choose(prompt, ANY_VERSION, Set.of(), 60_000);
+      Placement.Send send =
+          (Placement.Send) choose(prompt, ANY_VERSION, Set.of(), 0, 60_000, 60_000);
       send.replica()
           .begin("r" + i, new Replica.InFlightRequest(0, 8_000, 8_020, 0, NOW, NOW + 10_000));
     }
@@ -161,4 +177,42 @@
 
     assertThat(refusal).isInstanceOf(Placement.Refuse.class);
   }
+
+  private void report(int requests, long memoryTokens, long pendingTokens) {
+    List<UpstreamLoad> loads =
+        engines.stream()
+            .map(
+                engine ->
+                    new UpstreamLoad(
+                        engine.entry().id(), requests, memoryTokens, List.of(0L, pendingTokens)))
+            .toList();
+    peers.record("10.0.0.9:1", new FleetMessage.Load(1, 1, loads), NOW);
+  }
+
+  @Test
+  void requestWaitsWhileOthersFillTheMemoryOfAllEngines() {
+    report(5, 50_000, 0);
+
+    assertThat(choose(prompt("s", 8_000), ANY_VERSION, Set.of(), 5_000))
+        .isInstanceOf(Placement.Wait.class);
+    assertThat(choose(prompt("s", 800), ANY_VERSION, Set.of(), 5_000))
+        .isInstanceOf(Placement.Send.class);
+  }
+
+  @Test
+  void urgentRequestDoesNotWaitForLessUrgentOnes() {
+    report(3, 3_000, 80_000);
+
+    assertThat(choose(prompt("s", 800), ANY_VERSION, Set.of(), 1, GOAL_MILLIS, 5_000))
+        .isInstanceOf(Placement.Wait.class);
+    assertThat(choose(prompt("s", 800), ANY_VERSION, Set.of(), 0, GOAL_MILLIS, 5_000))
+        .isInstanceOf(Placement.Send.class);
+  }
+
+  /** The longest prompts take most of their objective by themselves, and are not held back. */
+  @Test
+  void longPromptIsSentToIdleEngine() {
+    assertThat(choose(prompt("s", 40_000), ANY_VERSION, Set.of(), 5_000))
+        .isInstanceOf(Placement.Send.class);
+  }
 }
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
@@ -0,0 +1,66 @@
+package org.bulrushpier.placing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class PlacementQueueTest {
+
+  private static final long GOAL_MILLIS = 400;
+
+  private final PlacementQueue<String> queue = new PlacementQueue<>();
+
+  @Test
+  void urgentRequestsLeaveFirstAndEqualOnesInOrderOfArrival() {
+    queue.add("late", 2, GOAL_MILLIS, 0);
+    queue.add("first", 1, GOAL_MILLIS, 1);
+    queue.add("second", 1, GOAL_MILLIS, 2);
+
+    assertThat(queue.head()).contains("first");
+    queue.remove("first");
+    assertThat(queue.head()).contains("second");
+    queue.remove("second");
+    assertThat(queue.head()).contains("late");
+  }
+
+  @Test
+  void onlyRequestsThatAreAtLeastAsUrgentAreAhead() {
+    queue.add("waiting", 1, GOAL_MILLIS, 0);
+
+    assertThat(queue.isAhead(0)).isFalse();
+    assertThat(queue.isAhead(1)).isTrue();
+    assertThat(queue.isAhead(2)).isTrue();
+  }
+
+  @Test
+  void requestWaitsForTheLengthOfItsObjectiveInShortQueue() {
+    queue.add("r", 1, GOAL_MILLIS, 0);
+
+    assertThat(queue.removeExpired(GOAL_MILLIS)).isEmpty();
+    assertThat(queue.removeExpired(GOAL_MILLIS + 1)).containsExactly("r");
+    assertThat(queue.size()).isZero();
+  }
+
+  /** A queue that does not empty only adds delay, so new requests wait for a shorter time. */
+  @Test
+  void requestsExpireSoonerInStandingQueue() {
+    long now = 0;
+    for (; now <= PlacementQueue.STANDING_MILLIS; now += 100) {
+      queue.add("r" + now, 1, GOAL_MILLIS, now);
+      queue.removeExpired(now);
+    }
+    queue.add("new", 1, GOAL_MILLIS, now);
+
+    assertThat(queue.isStanding(now)).isTrue();
+    assertThat(queue.removeExpired(now + GOAL_MILLIS / 2)).contains("new");
+  }
+
+  @Test
+  void queueThatWasEmptyIsNotStanding() {
+    queue.add("old", 1, GOAL_MILLIS, 0);
+    queue.remove("old");
+    queue.add("new", 1, GOAL_MILLIS, 5_000);
+
+    assertThat(queue.isStanding(5_100)).isFalse();
+  }
+}
