Responses without end are cut off at a bound

Cause: a faulty server may send bytes without end until its peer closes. Bodies of plain responses and of the store's were collected without a limit, an event of a stream without a line end grew without a limit, and interim responses were read for ever, until the caller's deadline or the end of the heap. Change: bodies are collected up to 4 MiB, an event up to 1 MiB, and 16 interim responses are accepted; beyond that the connection is closed and counts as a failure of the replica, the caller gets 502 or its stream is cut. The head was bounded before.

Refused callers are asked to return later the longer an overload has lasted, spread by half; interrupted streams go on before new requests; metrics and log lines for the queue.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
@@ -31,6 +31,9 @@
   private static final int MAX_HEAD_BYTES = 32 * 1_024;
   private static final int FIRST_FINAL_STATUS = 200;
 
+  /** The most interim responses before a final one. */
+  private static final int MAX_INTERIM_RESPONSES = 16;
+
   /**
    * Subtracted from an announced idle time, in milliseconds, so that the peer never closes first.
    */
@@ -41,6 +44,7 @@
   private OutboundRequest request;
   private HttpFields.Mutable fields = HttpFields.build();
   private int status;
+  private int interimResponses;
   private boolean isMismatched;
   private boolean isPersistent = true;
   private boolean isResponsePending;
@@ -98,6 +102,7 @@
     request = outbound;
     isResponsePending = true;
     isMismatched = false;
+    interimResponses = 0;
     outbound.assigned(this);
     parser.setHeadResponse("HEAD".equals(outbound.method()));
     write(HttpEncoder.requestHead(outbound.method(), outbound.target(), outbound.fields()));
@@ -174,6 +179,10 @@
   }
 
   private void responseComplete() {
+    if (status < FIRST_FINAL_STATUS && ++interimResponses > MAX_INTERIM_RESPONSES) {
+      fail("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+      return;
+    }
     if (isMismatched || status < FIRST_FINAL_STATUS) {
       if (!isPersistent) {
         fail("the connection ended after an answer to another request");
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -1,12 +1,12 @@
 package org.bulrushpier.daemon.serve;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import org.bulrushpier.Address;
 import org.bulrushpier.Moment;
 import org.bulrushpier.adapter.EngineFormat;
 import org.bulrushpier.adapter.StoreFormat;
+import org.bulrushpier.daemon.net.BoundedBuffer;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
 import org.bulrushpier.daemon.net.OutboundRequest;
@@ -27,6 +27,9 @@
   private final EventLoop loop;
   private final ConnectionPool pool;
 
+  /** The largest response body, in bytes: a few times the store's limit for a list. */
+  private static final int MAX_BODY_BYTES = 4 * 1_024 * 1_024;
+
   ControlClient(EventLoop loop, ConnectionPool pool) {
     this.loop = loop;
     this.pool = pool;
@@ -90,6 +93,7 @@
       Consumer<Outcome> consumer) {
     Call call = new Call(consumer);
     OutboundRequest outbound = OutboundRequest.of(method, target, fields, body, call);
+    call.outbound = outbound;
     call.timer =
         loop.after(
             timeoutMillis,
@@ -106,8 +110,9 @@
   private static final class Call implements OutboundRequest.Listener {
     private final Consumer<Outcome> consumer;
     private final Moment sent = Moment.now();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BoundedBuffer body = BoundedBuffer.of(MAX_BODY_BYTES);
     private EventLoop.Timer timer;
+    private OutboundRequest outbound;
     private int status;
     private boolean isDone;
 
@@ -122,9 +127,10 @@
 
     @Override
     public void body(ByteBuffer bytes) {
-      byte[] copy = new byte[bytes.remaining()];
-      bytes.get(copy);
-      body.write(copy, 0, copy.length);
+      if (!body.append(bytes) && !isDone) {
+        outbound.cancel();
+        failed("the response exceeds " + MAX_BODY_BYTES + " bytes");
+      }
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -1,6 +1,5 @@
 package org.bulrushpier.daemon.serve;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
@@ -13,6 +12,7 @@
 import org.bulrushpier.call.CallerRequest;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.call.UpstreamResponse;
+import org.bulrushpier.daemon.net.BoundedBuffer;
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.InboundRequest;
@@ -60,9 +60,15 @@
    */
   private static final long NON_REPEATABLE_MAX_IDLE_MILLIS = 2_000;
 
+  /** Priority in the queue of a stream that continues at another upstream, before all others. */
+  private static final int RESUMED_PRIORITY = -1;
+
   /** Number of failed connection attempts after which the request is given up. */
   private static final int MAX_CONNECT_FAILURES = 3;
 
+  /** The largest response body that is collected before it is forwarded, in bytes. */
+  private static final int MAX_BODY_BYTES = 4 * 1_024 * 1_024;
+
   /** Time without events after which a resumable stream moves to another upstream, in ms. */
   private static final long STREAM_IDLE_TIMEOUT_MILLIS = 1_200;
 
@@ -143,8 +149,8 @@
 
   /** Selects an upstream, behind any waiting requests that are at least as urgent. */
   private void place() {
-    if (request.prompt().isPresent() && queue().isAhead(priority())) {
-      await(new Placement.Wait("other requests wait for an engine", REFUSED_RETRY_MILLIS));
+    if (request.prompt().isPresent() && attempts == 0 && queue().isAhead(priority())) {
+      await(new Placement.Wait("other requests wait for an engine"));
     } else {
       tryPlace();
     }
@@ -158,9 +164,11 @@
     return holder.effectivePriority(route);
   }
 
+  /** Waits for an engine; interrupted streams go on before new requests begin. */
   private void await(Placement.Wait placement) {
     if (wait == null) {
-      queue().add(this, priority(), route.goalMillis(), MonotonicClock.millis());
+      int priority = isStreaming ? RESUMED_PRIORITY : priority();
+      queue().add(this, priority, route.goalMillis(), MonotonicClock.millis());
     }
     wait = placement;
   }
@@ -177,9 +185,13 @@
 
   /** Refuses this request, which has left the queue because it waited too long. */
   void waitExpired() {
-    Placement.Wait expired = wait;
+    String reason = wait.reason();
     wait = null;
-    giveUp(expired.reason(), expired.retryAfterMillis());
+    giveUp(
+        reason,
+        queue()
+            .retryDelayMillis(
+                route.goalMillis(), MonotonicClock.millis(), ThreadLocalRandom.current()));
   }
 
   private void leaveQueue() {
@@ -412,7 +424,7 @@
     private final Replica replica;
     private final Placement.Send placement;
     private final EventSplitter splitter = new EventSplitter();
-    private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+    private final BoundedBuffer buffer = BoundedBuffer.of(MAX_BODY_BYTES);
     private OutboundRequest outbound;
     private Replica.InFlightRequest inFlight;
     private ResponseHead head;
@@ -592,10 +604,19 @@
       }
       if (isStreaming && response.isSuccess()) {
         splitter.feed(bytes, this::forwardEvent);
-      } else {
-        byte[] copy = new byte[bytes.remaining()];
-        bytes.get(copy);
-        buffer.write(copy, 0, copy.length);
+        if (splitter.isTooLong()) {
+          rejectResponse("an event of the stream is too long");
+        }
+      } else if (!buffer.append(bytes)) {
+        rejectResponse("the response exceeds " + MAX_BODY_BYTES + " bytes");
+      }
+    }
+
+    /** Closes the connection to a replica that sends more than any response has. */
+    private void rejectResponse(String detail) {
+      if (!isEnded) {
+        outbound.cancel();
+        failed(detail);
       }
     }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.DatagramChannel;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -91,16 +92,20 @@
     return exchange;
   }
 
-  /** Returns the number of live instances, this one included. */
-  int liveInstances() {
-    return membership.liveInstances(MonotonicClock.millis());
-  }
-
   /** Replaces the instances to contact first. */
   void seeds(Collection<Address> seeds) {
     membership.seeds(seeds);
   }
 
+  /** Closes the socket, which also ends the receiving thread. */
+  void stop() {
+    try {
+      channel.close();
+    } catch (IOException e) {
+      log.event("datagram-socket-not-closed", "detail", e.getMessage());
+    }
+  }
+
   /** Sends what is due; called at each tick of the gateway. */
   void tick(long nowMillis) {
     peerLoads.expire(nowMillis);
@@ -167,6 +172,8 @@
           buffer.get(bytes);
           received(new Address(sender.getAddress().getHostAddress(), sender.getPort()), bytes);
         }
+      } catch (ClosedChannelException e) {
+        return;
       } catch (IOException e) {
         loop.run(() -> log.event("datagram-not-received", "detail", e.getMessage()));
       }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -68,6 +68,7 @@
   private final GatewayContext context;
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final Set<CallerConnection> connections = new HashSet<>();
+  private final Set<String> overloaded = new HashSet<>();
   private final RolloutCoordinator rollouts;
   private final CacheStorePoller cacheStorePoller;
   private FleetExchange fleet;
@@ -116,6 +117,18 @@
             "bulrushpier.upstream.connections.opened",
             "Connections opened to upstreams since the start",
             () -> context.upstreamPool().openedConnections());
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.requests.waiting",
+            "Requests that wait for an engine",
+            () -> context.placementQueues().values().stream().mapToInt(PlacementQueue::size).sum());
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.fleet.reporting",
+            "Other instances whose load is known",
+            () -> context.peerLoads().size());
     long wait = context.keyFreshness().watchMillis();
     watch(
         StoreFormat.CONFIGURATIONS,
@@ -170,7 +183,7 @@
     for (Exchange exchange : exchanges.toArray(new Exchange[0])) {
       exchange.tick(now);
     }
-    context.placementQueues().forEach(queue -> placeWaiting(queue, now));
+    context.placementQueues().forEach((service, queue) -> placeWaiting(service, queue, now));
     exchanges.removeIf(Exchange::isDone);
     connections.removeIf(CallerConnection::isClosed);
     context
@@ -189,12 +202,17 @@
   }
 
   /** Places waiting requests as far as engines can take them, and refuses those that expired. */
-  private static void placeWaiting(PlacementQueue<Exchange> queue, long nowMillis) {
+  private void placeWaiting(String service, PlacementQueue<Exchange> queue, long nowMillis) {
     queue.removeExpired(nowMillis).forEach(Exchange::waitExpired);
     Optional<Exchange> head = queue.head();
     while (head.isPresent() && head.get().placeWaiting()) {
       head = queue.head();
     }
+    if (queue.isStanding(nowMillis) && overloaded.add(service)) {
+      context.log().event("overload", "service", service, "waiting", queue.size());
+    } else if (queue.size() == 0 && overloaded.remove(service)) {
+      context.log().event("overload-ended", "service", service);
+    }
   }
 
   private boolean isReady() {
@@ -233,6 +251,9 @@
 
   /** Stops immediately; open connections are closed. */
   public void stop() {
+    if (fleet != null) {
+      fleet.stop();
+    }
     loop.stop();
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -155,8 +155,9 @@
     return placementQueues.computeIfAbsent(service, name -> new PlacementQueue<>());
   }
 
-  Collection<PlacementQueue<Exchange>> placementQueues() {
-    return placementQueues.values();
+  /** Returns the queues of all services by the name of the service. */
+  Map<String, PlacementQueue<Exchange>> placementQueues() {
+    return placementQueues;
   }
 
   /** Returns this instance's share of the retries allowed for a service. */
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -200,7 +200,7 @@
     double limit = Math.max(goalMillis - ownMillis, goalMillis * MIN_WAIT_SHARE);
     if (bestWait > limit) {
       String reason = "predicted wait at the best engine is " + (long) bestWait + " ms";
-      return new Placement.Wait(reason, Math.max(MIN_RETRY_MILLIS, (long) (bestWait - limit)));
+      return new Placement.Wait(reason);
     }
     sizes.samplePrefill(bestPlan.prefillTokens());
     return new Placement.Send(best, bestPlan, (long) Math.ceil(bestMillis));
--- a/library/src/main/java/org/bulrushpier/placing/Placement.java
+++ b/library/src/main/java/org/bulrushpier/placing/Placement.java
@@ -23,9 +23,8 @@
    * Every suitable engine is saturated; the request may wait for one at this instance.
    *
    * @param reason the reason, which is returned to the caller if the wait is in vain
-   * @param retryAfterMillis the time until capacity is expected, in milliseconds
    */
-  record Wait(String reason, long retryAfterMillis) implements Placement {}
+  record Wait(String reason) implements Placement {}
 
   /**
    * The request cannot be served in time and is rejected without being executed.
--- a/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.random.RandomGenerator;
 
 /**
  * The requests of one service that wait at this instance because every suitable engine is
@@ -33,6 +34,9 @@
   /** The longest wait in a standing queue, as a multiple of the request's latency objective. */
   private static final double STANDING_WAIT_FACTOR = 0.25;
 
+  /** The upper bound of the delay after which refused callers are asked to return, in ms. */
+  private static final long MAX_RETRY_MILLIS = 5_000;
+
   private record Entry<T>(
       T request, int priority, long sequence, long queuedMillis, long goalMillis) {}
 
@@ -112,6 +116,22 @@
     return !entries.isEmpty() && nowMillis - nonEmptySinceMillis > STANDING_MILLIS;
   }
 
+  /**
+   * Returns the delay after which a refused caller should return. An overload that has lasted for
+   * some time is expected to last about as long again; the delay varies by half, so that callers
+   * who are refused together do not return together.
+   *
+   * @param goalMillis the latency objective of the request, in milliseconds
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @param random the source of randomness
+   * @return the delay in milliseconds
+   */
+  public long retryDelayMillis(long goalMillis, long nowMillis, RandomGenerator random) {
+    long standing = entries.isEmpty() ? 0 : nowMillis - nonEmptySinceMillis;
+    long delay = Math.clamp(standing, Math.min(goalMillis, MAX_RETRY_MILLIS), MAX_RETRY_MILLIS);
+    return delay / 2 + random.nextLong(delay + 1);
+  }
+
   /** Returns the number of waiting requests. */
   public int size() {
     return entries.size();
--- a/library/src/main/java/org/bulrushpier/stream/EventSplitter.java
+++ b/library/src/main/java/org/bulrushpier/stream/EventSplitter.java
@@ -15,6 +15,9 @@
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final int DECIMAL = 10;
 
+  /** The length above which an event is considered malformed, in bytes. */
+  private static final int MAX_EVENT_BYTES = 1_024 * 1_024;
+
   private final ByteArrayOutputStream event = new ByteArrayOutputStream(256);
   private boolean isLineStart = true;
   private boolean isLineEmpty = true;
@@ -64,6 +67,16 @@
     return event.size() > 0;
   }
 
+  /**
+   * Returns whether the incomplete event exceeds the permitted length, so that the stream should be
+   * closed.
+   *
+   * @return true if it is longer than {@value #MAX_EVENT_BYTES} bytes
+   */
+  public boolean isTooLong() {
+    return event.size() > MAX_EVENT_BYTES;
+  }
+
   /** Discards the incomplete event, if any. */
   public void reset() {
     event.reset();
--- a/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
@@ -235,7 +235,7 @@
     play(10_000, 80);
     play(14_000, 160);
     play(18_000, 80);
-    double calm = shareInTime(5_000, 10_000);
+    final double calm = shareInTime(5_000, 10_000);
     play(26_000, 80);
 
     assertThat(calm).isGreaterThan(0.95);
@@ -245,7 +245,7 @@
   @Test
   void cachesRefillUnderLoad() {
     play(10_000, 90);
-    double calm = shareInTime(5_000, 10_000);
+    final double calm = shareInTime(5_000, 10_000);
     engines.forEach(EngineSimulation::dropCache);
     instances.forEach(i -> i.replicas.forEach(replica -> replica.parts().clear()));
     play(10_000 + RECOVERY_MILLIS, 90);
--- a/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 class PlacementQueueTest {
@@ -63,4 +64,16 @@
 
     assertThat(queue.isStanding(5_100)).isFalse();
   }
+
+  @Test
+  void refusedCallersReturnLaterTheLongerTheOverloadLasts() {
+    queue.add("r", 1, GOAL_MILLIS, 0);
+
+    for (int seed = 0; seed < 50; seed++) {
+      Random random = new Random(seed);
+      assertThat(queue.retryDelayMillis(GOAL_MILLIS, 100, random)).isBetween(200L, 600L);
+      assertThat(queue.retryDelayMillis(GOAL_MILLIS, 3_000, random)).isBetween(1_500L, 4_500L);
+      assertThat(queue.retryDelayMillis(GOAL_MILLIS, 60_000, random)).isBetween(2_500L, 7_500L);
+    }
+  }
 }
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 import org.bulrushpier.Address;
 
 /**
@@ -32,7 +33,13 @@
     /** Executes the request and never responds; closes the connection on release. */
     SILENT,
     /** Pauses the stream after its first event until the replica is released. */
-    HOLD_STREAM
+    HOLD_STREAM,
+    /** Sends header fields until the connection is closed. */
+    ENDLESS_HEAD,
+    /** Sends interim responses until the connection is closed. */
+    ENDLESS_INTERIM,
+    /** Sends body chunks, all in one line, until the connection is closed. */
+    ENDLESS_BODY
   }
 
   /** The number of events in a complete stream. */
@@ -45,6 +52,7 @@
   private final List<Execution> executions = new ArrayList<>();
   private final List<String> orders = new ArrayList<>();
   private final CountDownLatch released = new CountDownLatch(1);
+  private final AtomicLong endlessBytes = new AtomicLong();
   private Behaviour behaviour = Behaviour.ANSWER;
   private int version = 1;
 
@@ -183,6 +191,14 @@
       case LOSE_ANSWER -> false;
       case FAIL ->
           sendAll(socket, "HTTP/1.1 500 X\r\n" + attemptHeaders + "Content-Length: 4\r\n\r\nfail");
+      case ENDLESS_HEAD ->
+          sendWithoutEnd(socket, "HTTP/1.1 200 X\r\n" + attemptHeaders, "X-A: aaaaaaaa\r\n");
+      case ENDLESS_INTERIM -> sendWithoutEnd(socket, "", "HTTP/1.1 100 X\r\n\r\n");
+      case ENDLESS_BODY ->
+          sendWithoutEnd(
+              socket,
+              "HTTP/1.1 200 X\r\n" + attemptHeaders + "Transfer-Encoding: chunked\r\n\r\n",
+              "400\r\n" + "a".repeat(1_024) + "\r\n");
       case SILENT, HOLD_STREAM, CUT_STREAM, ANSWER -> {
         if (current == Behaviour.SILENT) {
           awaitRelease();
@@ -201,6 +217,21 @@
     return true;
   }
 
+  /** Repeats a text until the peer closes the connection. */
+  private boolean sendWithoutEnd(Socket socket, String start, String repeated) throws IOException {
+    RawHttpServer.send(socket, start);
+    while (released.getCount() > 0) {
+      RawHttpServer.send(socket, repeated);
+      endlessBytes.addAndGet(repeated.length());
+    }
+    return false;
+  }
+
+  /** Returns the number of bytes that endless responses have taken so far. */
+  public long endlessBytes() {
+    return endlessBytes.get();
+  }
+
   private boolean stream(
       RawHttpServer.Request request, Socket socket, String attemptHeaders, Behaviour current)
       throws IOException {
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -3,6 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -10,7 +13,10 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
@@ -26,6 +32,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Tests the gateway on the users' platform with fakes of its metadata store, services and engines.
@@ -51,6 +59,11 @@
 
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  /** What a replica may send in vain for a few calls, including the buffers of its sockets. */
+  private static final long MAX_ENDLESS_BYTES = 64L * 1_024 * 1_024;
+
+  private final Map<String, Address> metricsAddresses = new HashMap<>();
   private final List<ReplicaFake> replicas = new ArrayList<>();
   private MetadataStoreFake metadataStore;
   private Gateway gateway;
@@ -284,6 +297,90 @@
     assertThat(executedCount("engines")).isEqualTo(1);
   }
 
+  /**
+   * A faulty replica may send bytes without end, in a head or a body, until its peer closes the
+   * connection.
+   */
+  @ParameterizedTest
+  @EnumSource(names = {"ENDLESS_HEAD", "ENDLESS_INTERIM", "ENDLESS_BODY"})
+  void responseWithoutEndIsCutOffAndNotForwarded(Behaviour behaviour) throws Exception {
+    setBehaviour("plain", behaviour);
+    setBehaviour("engines", behaviour);
+
+    assertThat(send(request("/safe/a")).statusCode()).isEqualTo(502);
+    HttpRequest once = request("/once/a").POST(HttpRequest.BodyPublishers.ofString("d")).build();
+    assertThat(client.send(once, HttpResponse.BodyHandlers.ofString()).statusCode()).isEqualTo(502);
+    assertThat(
+            client.sendAsync(generation("/note/a").build(), HttpResponse.BodyHandlers.ofString()))
+        .satisfiesAnyOf(
+            stream -> assertThat(stream).failsWithin(Duration.ofSeconds(10)),
+            stream ->
+                assertThat(stream)
+                    .succeedsWithin(Duration.ofSeconds(10))
+                    .matches(response -> response.statusCode() == 502));
+    assertThat(replicas).allMatch(replica -> replica.endlessBytes() < MAX_ENDLESS_BYTES);
+
+    setBehaviour("plain", Behaviour.ANSWER);
+    await(() -> status(request("/safe/b")) == 200);
+  }
+
+  /** Datagrams that are no messages are ignored, whoever sends them. */
+  @Test
+  void instancesFindEachOtherAndExchangeTheirLoad() throws Exception {
+    int port = freeAddress().port();
+    Gateway first = Gateway.start(fleetSettings("127.0.0.1", port));
+    Gateway second = Gateway.start(fleetSettings("127.0.0.2", port));
+    try (DatagramSocket socket = new DatagramSocket()) {
+      byte[] garbage = {(byte) 0xdd, 0x7f, 1, 2, 3};
+      for (int i = 0; i < 20; i++) {
+        socket.send(
+            new DatagramPacket(garbage, garbage.length, InetAddress.getByName("127.0.0.1"), port));
+      }
+      await(() -> reportingInstances("127.0.0.1") == 1 && reportingInstances("127.0.0.2") == 1);
+    } finally {
+      first.stop();
+      second.stop();
+    }
+  }
+
+  private GatewaySettings fleetSettings(String host, int port) throws IOException {
+    Address metrics = new Address(host, freeAddress().port());
+    metricsAddresses.put(host, metrics);
+    return new GatewaySettings(
+        "entry-" + host,
+        "norte",
+        freeAddress(),
+        freeAddress(),
+        metrics,
+        settings.platformAddress(),
+        Optional.of(new Address(host, port)),
+        List.of(new Address("127.0.0.1", port)),
+        settings.keyRevocationMillis(),
+        settings.shutdownMillis(),
+        settings.retryRatio(),
+        settings.retryMinimum(),
+        settings.retryWindowMillis(),
+        settings.orderLeaseMillis(),
+        settings.weightsChangeMillis());
+  }
+
+  private double reportingInstances(String host) {
+    URI uri = URI.create("http://" + metricsAddresses.get(host) + "/metrics");
+    try {
+      return client
+          .send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString())
+          .body()
+          .lines()
+          .filter(line -> line.startsWith("bulrushpier_fleet_reporting "))
+          .mapToDouble(line -> Double.parseDouble(line.substring(line.indexOf(' '))))
+          .sum();
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   @Test
   void drainingReplicaGetsNoNewCalls() throws Exception {
     metadataStore.put("servers", "p0", replicas.get(0).entry("plain", "draining"));
