--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -430,7 +430,6 @@
     private ResponseHead head;
     private UpstreamResponse response;
     private boolean isEnded;
-    private long pendingTokensAtSend;
 
     Attempt(Replica replica, Placement.Send placement) {
       this.replica = replica;
@@ -452,7 +451,6 @@
               placement.cache().transferMillis(),
               now,
               overdue);
-      pendingTokensAtSend = replica.pendingPrefillTokens() + uncached;
       replica.begin(request.id(), inFlight);
       replica.breaker().begin(now);
       List<String> cacheTargets =
@@ -583,7 +581,11 @@
       mayHaveRun = true;
       replica.breaker().succeeded();
       if (route.kind() == RouteKind.STREAM) {
-        context.prefillRate().sample(pendingTokensAtSend, now - inFlight.sentMillis());
+        if (placement.isAlone() && placement.cache().transferMillis() == 0) {
+          context
+              .prefillRate()
+              .sample(placement.cache().prefillTokens(), now - inFlight.sentMillis());
+        }
         startStream();
       }
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -37,7 +37,7 @@
   private static final long MAX_INTERVAL_MILLIS = 1_000;
 
   /** The time between two datagrams of this instance, on average, in milliseconds. */
-  private static final long MILLIS_PER_CONTACT = 4;
+  private static final long MILLIS_PER_CONTACT = 12;
 
   /** Interval of the exchange of lists, in milliseconds. */
   private static final long MEMBERS_INTERVAL_MILLIS = 1_000;
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -163,7 +163,7 @@
           sources.computeIfAbsent(
               version, v -> PartSources.of(prompt.parts(), salt, stores, nowMillis));
       CachePlan plan = CachePlanner.plan(prompt, salt, service, engine, versionSources);
-      double own = rate.millis(plan.prefillTokens()) + plan.transferMillis();
+      double own = ownMillis(plan);
       double wait = predictWait(prompt, service, engine, priority, nowMillis);
       double millis = own + wait + faultCost(engine, nowMillis);
       if (!weights.allows(version, millis)) {
@@ -196,14 +196,22 @@
       long wait = Math.max(MIN_RETRY_MILLIS, (long) (bestMillis - leftMillis));
       return new Placement.Refuse("predicted first token after " + (long) bestMillis + " ms", wait);
     }
-    double ownMillis = rate.millis(bestPlan.prefillTokens()) + bestPlan.transferMillis();
-    double limit = Math.max(goalMillis - ownMillis, goalMillis * MIN_WAIT_SHARE);
+    double limit = Math.max(goalMillis - ownMillis(bestPlan), goalMillis * MIN_WAIT_SHARE);
     if (bestWait > limit) {
       String reason = "predicted wait at the best engine is " + (long) bestWait + " ms";
       return new Placement.Wait(reason);
     }
     sizes.samplePrefill(bestPlan.prefillTokens());
-    return new Placement.Send(best, bestPlan, (long) Math.ceil(bestMillis));
+    boolean isAlone =
+        best.pendingPrefillTokens() == 0
+            && best.transferMillis() == 0
+            && peers.at(best.entry().id(), Integer.MAX_VALUE).pendingTokens() == 0;
+    return new Placement.Send(best, bestPlan, (long) Math.ceil(bestMillis), isAlone);
+  }
+
+  /** Predicts the time to the first token of a request that waits for no other, in milliseconds. */
+  private double ownMillis(CachePlan plan) {
+    return rate.startMillis() + rate.millis(plan.prefillTokens()) + plan.transferMillis();
   }
 
   /**
--- a/library/src/main/java/org/bulrushpier/placing/Placement.java
+++ b/library/src/main/java/org/bulrushpier/placing/Placement.java
@@ -16,8 +16,10 @@
    * @param cache how the cached parts of the prompt reach the replica
    * @param expectedMillis the estimated time to the first token, in milliseconds, or 0 for a plain
    *     service
+   * @param isAlone whether no other request is known to wait at the replica for its first token
    */
-  record Send(Replica replica, CachePlan cache, long expectedMillis) implements Placement {}
+  record Send(Replica replica, CachePlan cache, long expectedMillis, boolean isAlone)
+      implements Placement {}
 
   /**
    * Every suitable engine is saturated; the request may wait for one at this instance.
--- a/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
@@ -147,7 +147,6 @@
               0,
               now,
               now + 2 * GOAL_MILLIS);
-      final long pending = replica.pendingPrefillTokens() + send.cache().prefillTokens();
       replica.begin(id, request);
       replica.parts().add("s", call.prompt.parts(), MEMORY_TOKENS);
       engine.submit(
@@ -162,7 +161,9 @@
                 replica.recordLoad(
                     new ReportedLoad(engine.runningRequests(), engine.waitingRequests(), SLOTS),
                     now);
-                rate.sample(pending, Math.max(1, now - sent));
+                if (send.isAlone()) {
+                  rate.sample(send.cache().prefillTokens(), Math.max(1, now - sent));
+                }
               },
               () -> replica.end(id)));
     }
