--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheStorePoller.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheStorePoller.java
@@ -123,6 +123,9 @@
         isRefusing = false;
         boolean isRestarted = state.recordReport(report.epoch(), MonotonicClock.millis());
         updateState(report);
+        if (report.clockMillis() >= 0) {
+          context.replicaClock().sample(report.clockMillis(), MonotonicClock.millis());
+        }
         if (report.isLost() || (isRestarted && !report.isFromStart())) {
           list();
         } else {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -470,6 +470,7 @@
                   salt,
                   version,
                   placement.cache().sources(),
+                  context.replicaClock().at(now + placement.maxFetchMillis(), now).orElse(-1),
                   cacheTargets),
               inbound.method(),
               inbound.body().length);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -16,6 +16,7 @@
 import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.PlainPlacement;
 import org.bulrushpier.placing.PrefillRate;
+import org.bulrushpier.placing.ReplicaClock;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.replica.ReplicaTable;
 import org.bulrushpier.rollout.TargetWeights;
@@ -41,6 +42,7 @@
   private final KnownConfiguration configuration = new KnownConfiguration();
   private final ReplicaTable replicas = new ReplicaTable();
   private final TargetWeights weights = new TargetWeights();
+  private final ReplicaClock replicaClock = new ReplicaClock();
   private final PrefillRate prefillRate = new PrefillRate();
   private final PeerLoads peerLoads = new PeerLoads();
   private final EnginePlacement enginePlacement;
@@ -94,6 +96,11 @@
     return weights;
   }
 
+  /** Returns the clock that replicas and cache stores share. */
+  ReplicaClock replicaClock() {
+    return replicaClock;
+  }
+
   PrefillRate prefillRate() {
     return prefillRate;
   }
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -90,6 +90,15 @@
    */
   private static final double MAX_MEMORY_SHARE = 1.05;
 
+  /** The factor by which the wait before a transfer may exceed its prediction. */
+  private static final double WAIT_TOLERANCE = 1.5;
+
+  /** The factor by which a transfer may exceed its prediction. */
+  private static final double TRANSFER_TOLERANCE = 2;
+
+  /** Added to the time for a transfer, for the way of the request to its engine, in ms. */
+  private static final double FETCH_MARGIN_MILLIS = 50;
+
   /** The lower bound of the retry delay given to callers, in milliseconds. */
   private static final long MIN_RETRY_MILLIS = 100;
 
@@ -206,7 +215,24 @@
         best.pendingPrefillTokens() == 0
             && best.transferMillis() == 0
             && peers.at(best.entry().id(), Integer.MAX_VALUE).pendingTokens() == 0;
-    return new Placement.Send(best, bestPlan, (long) Math.ceil(bestMillis), isAlone);
+    return new Placement.Send(
+        best,
+        bestPlan,
+        (long) Math.ceil(bestMillis),
+        (long) maxFetchMillis(bestPlan, bestWait),
+        isAlone);
+  }
+
+  /**
+   * Returns how long to wait for cached parts, in milliseconds. A link may be much slower than
+   * configured; a transfer that takes as long as the prefill of its parts is given up, so that it
+   * costs no more than twice the best choice.
+   */
+  private double maxFetchMillis(CachePlan plan, double waitMillis) {
+    double prefill = rate.millis(plan.fetchedTokens() + plan.residentTokens());
+    return waitMillis * WAIT_TOLERANCE
+        + Math.max(prefill, plan.transferMillis() * TRANSFER_TOLERANCE)
+        + FETCH_MARGIN_MILLIS;
   }
 
   /** Predicts the time to the first token of a request that waits for no other, in milliseconds. */
--- a/library/src/main/java/org/bulrushpier/placing/Placement.java
+++ b/library/src/main/java/org/bulrushpier/placing/Placement.java
@@ -16,9 +16,12 @@
    * @param cache how the cached parts of the prompt reach the replica
    * @param expectedMillis the estimated time to the first token, in milliseconds, or 0 for a plain
    *     service
+   * @param maxFetchMillis the time from now after which cached parts that have not arrived should
+   *     be prefilled instead, in milliseconds
    * @param isAlone whether no other request is known to wait at the replica for its first token
    */
-  record Send(Replica replica, CachePlan cache, long expectedMillis, boolean isAlone)
+  record Send(
+      Replica replica, CachePlan cache, long expectedMillis, long maxFetchMillis, boolean isAlone)
       implements Placement {}
 
   /**
--- a/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
@@ -89,6 +89,6 @@
     }
     return best == null
         ? new Placement.Refuse("no replica can take it", RETRY_MILLIS)
-        : new Placement.Send(best, CachePlan.EMPTY, 0, true);
+        : new Placement.Send(best, CachePlan.EMPTY, 0, 0, true);
   }
 }
