--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -230,7 +230,8 @@
    */
   private double maxFetchMillis(CachePlan plan, double waitMillis) {
     double prefill = rate.millis(plan.fetchedTokens() + plan.residentTokens());
-    return waitMillis * WAIT_TOLERANCE
+    return rate.startMillis()
+        + waitMillis * WAIT_TOLERANCE
         + Math.max(prefill, plan.transferMillis() * TRANSFER_TOLERANCE)
         + FETCH_MARGIN_MILLIS;
   }
