Requests whose deadline passed while their connection opened are not sent

After a restart under load the event loop was late, and a request was sent as soon as its connection was open, without looking at its deadline again. Change: the pool asks whether a waiting request is obsolete. Result: the new case of OutboundConnectionTest failed before, passes now.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
@@ -139,7 +139,7 @@
 
     private OutboundRequest pollWaiting() {
       OutboundRequest next = waiting.poll();
-      while (next != null && next.isCancelled()) {
+      while (next != null && (next.isCancelled() || next.listener().isObsolete())) {
         next = waiting.poll();
       }
       return next;
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
@@ -24,6 +24,16 @@
       return true;
     }
 
+    /**
+     * Returns whether the request must no longer be sent. Asked when a connection for it has been
+     * opened, which may take long while the process is busy.
+     *
+     * @return true if nobody waits for the response any more
+     */
+    default boolean isObsolete() {
+      return false;
+    }
+
     /** The first byte is about to be written; from now on the request may run. */
     default void sending() {}
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -556,6 +556,11 @@
       return id.isEmpty() || id.equals(request.id());
     }
 
+    @Override
+    public boolean isObsolete() {
+      return remainingMillis() <= 0;
+    }
+
     @Override
     public void sending() {
       attempts++;
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
@@ -30,6 +30,8 @@
     private final StringBuilder body = new StringBuilder();
     private final CompletableFuture<String> outcome = new CompletableFuture<>();
     private boolean isSent;
+    private boolean isObsolete;
+    private final CompletableFuture<Void> askedWhetherObsolete = new CompletableFuture<>();
 
     ResponseRecorder(String id) {
       this.id = id;
@@ -40,6 +42,12 @@
       return id.equals(head.fields().get("Attempt-Id"));
     }
 
+    @Override
+    public boolean isObsolete() {
+      askedWhetherObsolete.complete(null);
+      return isObsolete;
+    }
+
     @Override
     public void sending() {
       isSent = true;
@@ -66,20 +74,46 @@
 
   private ResponseRecorder send(Address address, String id) {
     ResponseRecorder recorder = new ResponseRecorder(id);
-    HttpFields fields = HttpFields.build().add("Host", "x").add("Attempt-Id", id);
-    loop.run(
-        () ->
-            pool.send(
-                address,
-                OutboundRequest.of("GET", "/", fields, new byte[0], recorder),
-                ConnectionPool.ANY_IDLE_TIME));
+    loop.run(() -> send(address, recorder));
     return recorder;
   }
 
+  private void send(Address address, ResponseRecorder recorder) {
+    HttpFields fields = HttpFields.build().add("Host", "x").add("Attempt-Id", recorder.id);
+    pool.send(
+        address,
+        OutboundRequest.of("GET", "/", fields, new byte[0], recorder),
+        ConnectionPool.ANY_IDLE_TIME);
+  }
+
   private static String outcome(ResponseRecorder recorder) throws Exception {
     return recorder.outcome.get(30, TimeUnit.SECONDS);
   }
 
+  /**
+   * After a restart under load, requests were sent up to a second after their deadline, because
+   * their connections took that long to open.
+   */
+  @Test
+  void requestThatBecameObsoleteWhileItsConnectionOpenedIsNotSent() throws Exception {
+    CompletableFuture<String> firstRead = new CompletableFuture<>();
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              firstRead.complete(RawServer.readHead(socket));
+              RawServer.write(socket, RESPONSE.formatted("second", "ok"));
+            })) {
+      ResponseRecorder first = new ResponseRecorder("first");
+      first.isObsolete = true;
+      loop.run(() -> send(server.address(), first));
+      first.askedWhetherObsolete.get(30, TimeUnit.SECONDS);
+
+      assertThat(outcome(send(server.address(), "second"))).isEqualTo("complete: ok");
+      assertThat(firstRead.get()).contains("second");
+      assertThat(first.isSent).isFalse();
+    }
+  }
+
   @Test
   void responseToAnotherRequestIsDiscarded() throws Exception {
     try (RawServer server =
