Limits: freeze the joint demand while a heartbeat is overdue

Until a peer counts as unreachable, 3 s after a cut, each side updated the joint demand from its own newest demand and the other's last one. The sides then divide the limit by different totals; with demand growing by a tenth a heartbeat the shares add up to 1.11. Change: the joint demand stays as it is while a peer's heartbeat is overdue.

--- a/daemon/src/main/java/org/bulrushpier/daemon/AdmissionController.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/AdmissionController.java
@@ -13,6 +13,7 @@
 import org.bulrushpier.Customer;
 import org.bulrushpier.ErrorCode;
 import org.bulrushpier.limit.Admission;
+import org.bulrushpier.limit.JointDemand;
 import org.bulrushpier.limit.Permit;
 import org.bulrushpier.limit.Shares;
 import org.bulrushpier.peer.PeerMessage;
@@ -36,7 +37,7 @@
   private final SettingsManager settingsManager;
   private final Admission admission;
   private final Map<String, Double> demand = new HashMap<>();
-  private Map<String, Double> jointDemand = Map.of();
+  private final JointDemand jointDemand = new JointDemand();
 
   AdmissionController(Clock clock, SettingsManager settingsManager) {
     this.clock = clock;
@@ -113,16 +114,10 @@
         (peer.isLive() ? live : unreachable).add(demands(peer, ids));
       }
     }
-    if (unreachable.isEmpty()) {
-      jointDemand = sum(live);
-    }
-    admission.update(settings, Shares.of(demand, live, unreachable, jointDemand));
-  }
-
-  private Map<String, Double> sum(List<Map<String, Double>> peers) {
-    Map<String, Double> sum = new HashMap<>(demand);
-    peers.forEach(peer -> peer.forEach((id, value) -> sum.merge(id, value, Double::sum)));
-    return sum;
+    boolean isComplete =
+        unreachable.isEmpty() && peers.stream().allMatch(PeerTable.PeerSnapshot::isOnTime);
+    jointDemand.update(demand, live, isComplete);
+    admission.update(settings, Shares.of(demand, live, unreachable, jointDemand.demand()));
   }
 
   private static Map<String, Double> demands(
--- a/library/src/main/java/org/bulrushpier/peer/PeerTable.java
+++ b/library/src/main/java/org/bulrushpier/peer/PeerTable.java
@@ -35,6 +35,9 @@
   /** The time without a heartbeat after which a peer is considered dead, in milliseconds. */
   public static final long HEARTBEAT_TIMEOUT_MILLIS = 3 * HEARTBEAT_MILLIS;
 
+  /** The time after which the next heartbeat of a peer is overdue, in milliseconds. */
+  private static final long HEARTBEAT_LATE_MILLIS = HEARTBEAT_MILLIS + HEARTBEAT_MILLIS / 4;
+
   private static final int TARGETS_PER_REMOTE_DOMAIN = 2;
 
   private final String self;
@@ -197,6 +200,7 @@
                     peer.domain,
                     peer.address,
                     isLive(peer),
+                    isOnTime(peer),
                     peer.isLeaving || peer.isRemoved,
                     peer.digest,
                     peer.demands))
@@ -244,6 +248,13 @@
     return peer != null && domain.equals(peer.domain);
   }
 
+  private boolean isOnTime(Peer peer) {
+    return peer.lastHeartbeatMillis == 0
+        || peer.isLeaving
+        || peer.isRemoved
+        || clock.millis() - peer.lastHeartbeatMillis <= HEARTBEAT_LATE_MILLIS;
+  }
+
   private Peer newPeer(String name) {
     return new Peer(name, clock.millis());
   }
@@ -267,6 +278,7 @@
    * @param domain the name of its failure domain
    * @param address its peer address, or empty if unknown
    * @param isLive true if it is considered live
+   * @param isOnTime false if a heartbeat of it is overdue
    * @param isLeaving true if it is shutting down or was removed from the platform's list
    * @param settingsDigest the digest of its settings, or 0 if it never sent a heartbeat
    * @param demands the demand of its customers
@@ -276,6 +288,7 @@
       String domain,
       String address,
       boolean isLive,
+      boolean isOnTime,
       boolean isLeaving,
       long settingsDigest,
       List<PeerMessage.Demand> demands) {}
