Placing: a session's home engine is assumed to hold part of its shared prompt

Cause: the home engine's advantage was 1,500 tokens at the learned rate. Change: the home engine is assumed to hold 0.4 of the shared tokens that this instance does not know to be there.

--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -33,10 +33,10 @@
   private static final long LOAD_VALIDITY_MILLIS = 700;
 
   /**
-   * The cost advantage of a session's home engine, in tokens: less than the usual history of a
-   * session.
+   * The assumed share of the uncached shared tokens that a session's home engine holds after all,
+   * as other instances send the session there.
    */
-  private static final int HOME_BONUS_TOKENS = 1_500;
+  private static final double HOME_CACHED_SHARE = 0.4;
 
   /** The cost of crossing failure domains, in tokens: about a millisecond of prefill. */
   private static final int CROSSING_COST_TOKENS = 60;
@@ -182,13 +182,15 @@
       if (!engine.entry().domain().equals(domain)) {
         tokens += CROSSING_COST_TOKENS;
       }
+      double sharedTokens = plan.sharedPrefillTokens();
       if (engine.entry().id().equals(home)) {
-        tokens -= Math.min(HOME_BONUS_TOKENS, plan.prefillTokens());
+        tokens -= HOME_CACHED_SHARE * sharedTokens;
+        sharedTokens *= 1 - HOME_CACHED_SHARE;
       }
       double cost =
           millis
               + rate.millis(tokens)
-              + plan.sharedPrefillTokens() * SHARED_PREFILL_COST_MILLIS
+              + sharedTokens * SHARED_PREFILL_COST_MILLIS
               + weights.penaltyMillis(version);
       if (cost < bestCost) {
         best = engine;
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -215,4 +215,15 @@
     assertThat(choose(prompt("s", 40_000), ANY_VERSION, Set.of(), 5_000))
         .isInstanceOf(Placement.Send.class);
   }
+
+  /** Other instances send the session to its home engine, which therefore is likely to hold it. */
+  @Test
+  void longSessionGoesHomeInSpiteOfShortWaitThere() {
+    PromptShape prompt = prompt("s", 8_000);
+    String home = chosen(prompt, ANY_VERSION);
+    UpstreamLoad pending = new UpstreamLoad(home, 1, 4_000, List.of(4_000L));
+    peers.record("10.0.0.9:1", new FleetMessage.Load(1, 1, List.of(pending)), NOW);
+
+    assertThat(chosen(prompt, ANY_VERSION)).isEqualTo(home);
+  }
 }
