--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -154,14 +154,10 @@
       long goalMillis,
       long leftMillis,
       long nowMillis) {
-    Replica best = null;
-    CachePlan bestPlan = CachePlan.EMPTY;
-    double bestCost = Double.MAX_VALUE;
-    double bestMillis = Double.MAX_VALUE;
-    double bestWait = 0;
     String home = home(prompt, engines);
     sizes.sampleInFlight(engines);
     Map<Integer, PartSources> sources = new HashMap<>();
+    Candidate best = null;
     for (Replica engine : engines) {
       if (excluded.contains(engine.entry().id())) {
         continue;
@@ -172,57 +168,67 @@
           sources.computeIfAbsent(
               version, v -> PartSources.of(prompt.parts(), salt, stores, nowMillis));
       CachePlan plan = CachePlanner.plan(prompt, salt, service, engine, versionSources);
-      double own = ownMillis(plan);
       double wait = predictWait(prompt, service, engine, priority, nowMillis);
-      double millis = own + wait + faultCost(engine, nowMillis);
+      double millis = ownMillis(plan) + wait + faultCost(engine, nowMillis);
       if (!weights.allows(version, millis)) {
         continue;
       }
-      double tokens = 0;
-      if (!engine.entry().domain().equals(domain)) {
-        tokens += CROSSING_COST_TOKENS;
-      }
-      double sharedTokens = plan.sharedPrefillTokens();
-      if (engine.entry().id().equals(home)) {
-        tokens -= HOME_CACHED_SHARE * sharedTokens;
-        sharedTokens *= 1 - HOME_CACHED_SHARE;
-      }
-      double cost =
-          millis
-              + rate.millis(tokens)
-              + sharedTokens * SHARED_PREFILL_COST_MILLIS
-              + weights.penaltyMillis(version);
-      if (cost < bestCost) {
-        best = engine;
-        bestCost = cost;
-        bestMillis = millis;
-        bestWait = wait;
-        bestPlan = plan;
+      double cost = millis + cacheCost(engine, plan, home) + weights.penaltyMillis(version);
+      if (best == null || cost < best.cost) {
+        best = new Candidate(engine, plan, wait, millis, cost);
       }
     }
-    if (best == null) {
-      return new Placement.Refuse("no engine can take it", MIN_RETRY_MILLIS);
-    }
-    if (bestMillis > leftMillis) {
-      long wait = Math.max(MIN_RETRY_MILLIS, (long) (bestMillis - leftMillis));
-      return new Placement.Refuse("predicted first token after " + (long) bestMillis + " ms", wait);
+    return best == null
+        ? new Placement.Refuse("no engine can take it", MIN_RETRY_MILLIS)
+        : decide(best, goalMillis, leftMillis);
+  }
+
+  /**
+   * An engine with the predictions for a request.
+   *
+   * @param waitMillis the predicted wait before the request's own prefill
+   * @param totalMillis the predicted time to the first token, with the cost of faults
+   * @param cost the cost by which engines are compared, in milliseconds
+   */
+  private record Candidate(
+      Replica engine, CachePlan plan, double waitMillis, double totalMillis, double cost) {}
+
+  /** Decides whether a request is sent to the best engine, waits for one, or is refused. */
+  private Placement decide(Candidate best, long goalMillis, long leftMillis) {
+    if (best.totalMillis > leftMillis) {
+      long wait = Math.max(MIN_RETRY_MILLIS, (long) (best.totalMillis - leftMillis));
+      return new Placement.Refuse(
+          "predicted first token after " + (long) best.totalMillis + " ms", wait);
     }
-    double limit = Math.max(goalMillis - ownMillis(bestPlan), goalMillis * MIN_WAIT_SHARE);
-    if (bestWait > limit) {
-      String reason = "predicted wait at the best engine is " + (long) bestWait + " ms";
-      return new Placement.Wait(reason);
+    double limit = Math.max(goalMillis - ownMillis(best.plan), goalMillis * MIN_WAIT_SHARE);
+    if (best.waitMillis > limit) {
+      return new Placement.Wait(
+          "predicted wait at the best engine is " + (long) best.waitMillis + " ms");
     }
-    sizes.samplePrefill(bestPlan.prefillTokens());
-    boolean isAlone =
-        best.pendingPrefillTokens() == 0
-            && best.transferMillis() == 0
-            && peers.at(best.entry().id(), Integer.MAX_VALUE).pendingTokens() == 0;
+    sizes.samplePrefill(best.plan.prefillTokens());
     return new Placement.Send(
-        best,
-        bestPlan,
-        (long) Math.ceil(bestMillis),
-        (long) maxFetchMillis(bestPlan, bestWait),
-        isAlone);
+        best.engine,
+        best.plan,
+        (long) Math.ceil(best.totalMillis),
+        (long) maxFetchMillis(best.plan, best.waitMillis),
+        isAlone(best.engine));
+  }
+
+  private boolean isAlone(Replica engine) {
+    return engine.pendingPrefillTokens() == 0
+        && engine.transferMillis() == 0
+        && peers.at(engine.entry().id(), Integer.MAX_VALUE).pendingTokens() == 0;
+  }
+
+  /** Returns the cost of crossing failure domains and of repeating prefill, in milliseconds. */
+  private double cacheCost(Replica engine, CachePlan plan, String home) {
+    double tokens = engine.entry().domain().equals(domain) ? 0 : CROSSING_COST_TOKENS;
+    double sharedTokens = plan.sharedPrefillTokens();
+    if (engine.entry().id().equals(home)) {
+      tokens -= HOME_CACHED_SHARE * sharedTokens;
+      sharedTokens *= 1 - HOME_CACHED_SHARE;
+    }
+    return rate.millis(tokens) + sharedTokens * SHARED_PREFILL_COST_MILLIS;
   }
 
   /**
