Clean up after reading the change again

Load reports: a new report removes just the entries of its former one instead of searching all upstreams, and contacts are listed only when a report may be due. Membership: the age of an instance stands once; seeds need no order of their own. Settings: the fleet address is read once, so a faulty one is reported once (GatewaySettingsTest). The replicas' clock checks its samples itself. A priority is clamped to 0..9 in one place, for the queue, the load reports and the header; before, only the header was, and load reports made room for each priority below. That clamp has no test of its own.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheStorePoller.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CacheStorePoller.java
@@ -123,9 +123,7 @@
         isRefusing = false;
         boolean isRestarted = state.recordReport(report.epoch(), MonotonicClock.millis());
         updateState(report);
-        if (report.clockMillis() >= 0) {
-          context.replicaClock().sample(report.clockMillis(), MonotonicClock.millis());
-        }
+        context.replicaClock().sample(report.clockMillis(), MonotonicClock.millis());
         if (report.isLost() || (isRestarted && !report.isFromStart())) {
           list();
         } else {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -24,12 +24,12 @@
   /** Status of a call that got no response. */
   static final int NO_RESPONSE = 0;
 
-  private final EventLoop loop;
-  private final ConnectionPool pool;
-
   /** The largest response body, in bytes: a few times the store's limit for a list. */
   private static final int MAX_BODY_BYTES = 4 * 1_024 * 1_024;
 
+  private final EventLoop loop;
+  private final ConnectionPool pool;
+
   ControlClient(EventLoop loop, ConnectionPool pool) {
     this.loop = loop;
     this.pool = pool;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -60,6 +60,9 @@
    */
   private static final long NON_REPEATABLE_MAX_IDLE_MILLIS = 2_000;
 
+  /** The lowest priority that engines distinguish; configured ones beyond it are equal to it. */
+  private static final int MAX_PRIORITY = 9;
+
   /** Priority in the queue of a stream that continues at another upstream, before all others. */
   private static final int RESUMED_PRIORITY = -1;
 
@@ -161,7 +164,7 @@
   }
 
   private int priority() {
-    return holder.effectivePriority(route);
+    return Math.clamp(holder.effectivePriority(route), 0, MAX_PRIORITY);
   }
 
   /** Waits for an engine; interrupted streams go on before new requests begin. */
@@ -466,7 +469,7 @@
                   holder.customer(),
                   remaining,
                   lastEvent,
-                  prompt.isPresent() ? Math.clamp(holder.effectivePriority(route), 0, 9) : -1,
+                  prompt.isPresent() ? priority() : -1,
                   salt,
                   version,
                   placement.cache().sources(),
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -109,12 +109,22 @@
   /** Sends what is due; called at each tick of the gateway. */
   void tick(long nowMillis) {
     peerLoads.expire(nowMillis);
+    reportLoad(nowMillis);
+    exchangeMembers(nowMillis);
+  }
+
+  private void reportLoad(long nowMillis) {
+    long sinceLast = nowMillis - lastLoadMillis;
+    if (sinceLast < MIN_INTERVAL_MILLIS) {
+      return;
+    }
     List<Address> contacts = membership.contacts(nowMillis);
-    long interval =
-        Math.clamp(contacts.size() * MILLIS_PER_CONTACT, MIN_INTERVAL_MILLIS, MAX_INTERVAL_MILLIS);
-    if (nowMillis - lastLoadMillis >= interval) {
+    if (sinceLast >= Math.min(contacts.size() * MILLIS_PER_CONTACT, MAX_INTERVAL_MILLIS)) {
       sendLoad(contacts, nowMillis);
     }
+  }
+
+  private void exchangeMembers(long nowMillis) {
     int instances = membership.liveInstances(nowMillis);
     context.recordInstances(instances);
     long membersInterval = instances > 1 ? MEMBERS_INTERVAL_MILLIS : SEARCH_INTERVAL_MILLIS;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -54,8 +54,8 @@
   private final Set<Replica> unverified = new HashSet<>();
   private final EventLog log = new EventLog();
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
-  private int mostInstances = 1;
   private final Map<String, PlacementQueue<Exchange>> placementQueues = new HashMap<>();
+  private int mostInstances = 1;
 
   GatewayContext(EventLoop loop, Supplier<GatewaySettings> settings) {
     this.loop = loop;
--- a/library/src/main/java/org/bulrushpier/fleet/Membership.java
+++ b/library/src/main/java/org/bulrushpier/fleet/Membership.java
@@ -4,11 +4,12 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.bulrushpier.Address;
 
@@ -44,20 +45,18 @@
       return nowMillis - heardMillis <= LIVE_MILLIS;
     }
 
-    private boolean isContacted(long nowMillis) {
-      return nowMillis - Math.max(heardMillis, learnedMillis) <= CONTACT_MILLIS;
+    /** Returns the time since it was last heard from, or else since it was mentioned. */
+    private long ageMillis(long nowMillis) {
+      return nowMillis - Math.max(heardMillis, learnedMillis);
     }
   }
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Address self;
-  private final Set<Address> seeds = new TreeSet<>(ORDER);
+  private final Set<Address> seeds = new LinkedHashSet<>();
   private final Map<Address, Peer> peers = new HashMap<>();
 
-  private static final java.util.Comparator<Address> ORDER =
-      java.util.Comparator.comparing(Address::host).thenComparingInt(Address::port);
-
   private Membership(Address self) {
     this.self = self;
   }
@@ -94,10 +93,7 @@
    */
   public void heard(Address address, long nowMillis) {
     if (!address.equals(self) && (peers.containsKey(address) || peers.size() < MAX_KNOWN)) {
-      peers.merge(
-          address,
-          new Peer(nowMillis, nowMillis),
-          (known, heard) -> new Peer(nowMillis, known.learnedMillis));
+      peers.put(address, new Peer(nowMillis, nowMillis));
     }
   }
 
@@ -119,10 +115,7 @@
    * @param nowMillis the current monotonic time, in milliseconds
    */
   public void expire(long nowMillis) {
-    peers
-        .values()
-        .removeIf(
-            peer -> nowMillis - Math.max(peer.heardMillis, peer.learnedMillis) > MEMORY_MILLIS);
+    peers.values().removeIf(peer -> peer.ageMillis(nowMillis) > MEMORY_MILLIS);
   }
 
   /**
@@ -145,7 +138,7 @@
     List<Address> contacts = new ArrayList<>();
     peers.forEach(
         (address, peer) -> {
-          if (peer.isContacted(nowMillis)) {
+          if (peer.ageMillis(nowMillis) <= CONTACT_MILLIS) {
             contacts.add(address);
           }
         });
@@ -185,7 +178,7 @@
     if (live.size() <= MAX_LIST) {
       return live;
     }
-    Collections.shuffle(live, java.util.Random.from(random));
+    Collections.shuffle(live, Random.from(random));
     return live.subList(0, MAX_LIST);
   }
 }
--- a/library/src/main/java/org/bulrushpier/fleet/PeerLoads.java
+++ b/library/src/main/java/org/bulrushpier/fleet/PeerLoads.java
@@ -1,7 +1,6 @@
 package org.bulrushpier.fleet;
 
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -33,7 +32,7 @@
     public static final Total NONE = new Total(0, 0, 0);
   }
 
-  private record Report(long startMillis, long sequence, long receivedMillis) {}
+  private record Report(FleetMessage.Load load, long receivedMillis) {}
 
   private final Map<String, Report> reports = new HashMap<>();
   private final Map<String, Map<String, UpstreamLoad>> loads = new HashMap<>();
@@ -51,22 +50,21 @@
       return false;
     }
     Report known = reports.get(sender);
-    if (known != null && isOlder(load, known)) {
+    if (known != null && isOlder(load, known.load)) {
       return true;
     }
     remove(sender);
-    List<UpstreamLoad> upstreams = load.upstreams();
-    reports.put(sender, new Report(load.startMillis(), load.sequence(), nowMillis));
-    for (UpstreamLoad upstream : upstreams) {
+    reports.put(sender, new Report(load, nowMillis));
+    for (UpstreamLoad upstream : load.upstreams()) {
       loads.computeIfAbsent(upstream.upstream(), id -> new HashMap<>()).put(sender, upstream);
     }
     return true;
   }
 
-  private static boolean isOlder(FleetMessage.Load load, Report known) {
-    return load.startMillis() == known.startMillis
-        ? load.sequence() <= known.sequence
-        : load.startMillis() < known.startMillis;
+  private static boolean isOlder(FleetMessage.Load load, FleetMessage.Load known) {
+    return load.startMillis() == known.startMillis()
+        ? load.sequence() <= known.sequence()
+        : load.startMillis() < known.startMillis();
   }
 
   /**
@@ -84,13 +82,17 @@
   }
 
   private void remove(String sender) {
-    reports.remove(sender);
-    for (Iterator<Map<String, UpstreamLoad>> it = loads.values().iterator(); it.hasNext(); ) {
-      Map<String, UpstreamLoad> senders = it.next();
-      senders.remove(sender);
-      if (senders.isEmpty()) {
-        it.remove();
-      }
+    Report removed = reports.remove(sender);
+    if (removed == null) {
+      return;
+    }
+    for (UpstreamLoad upstream : removed.load.upstreams()) {
+      loads.computeIfPresent(
+          upstream.upstream(),
+          (id, senders) -> {
+            senders.remove(sender);
+            return senders.isEmpty() ? null : senders;
+          });
     }
   }
 
--- a/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
@@ -93,11 +93,10 @@
    * @return the removed requests
    */
   public List<T> removeExpired(long nowMillis) {
-    boolean isStanding = isStanding(nowMillis);
+    double factor = isStanding(nowMillis) ? STANDING_WAIT_FACTOR : BURST_WAIT_FACTOR;
     List<T> expired = new ArrayList<>();
     for (Iterator<Entry<T>> it = entries.iterator(); it.hasNext(); ) {
       Entry<T> entry = it.next();
-      double factor = isStanding ? STANDING_WAIT_FACTOR : BURST_WAIT_FACTOR;
       if (nowMillis - entry.queuedMillis > factor * entry.goalMillis) {
         it.remove();
         expired.add(entry.request);
--- a/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
+++ b/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
@@ -80,8 +80,7 @@
   }
 
   /** Reads the hosts of the seeds, which use the same port as this instance. */
-  private static List<Address> seeds(SectionReader reader) {
-    Optional<Address> own = reader.optionalAddress("fleet-address");
+  private static List<Address> seeds(SectionReader reader, Optional<Address> own) {
     List<Address> seeds = new ArrayList<>();
     for (Address listed : reader.addresses("seeds")) {
       own.ifPresent(address -> seeds.add(new Address(listed.host(), address.port())));
@@ -90,6 +89,7 @@
   }
 
   private static GatewaySettings readGateway(SectionReader reader) {
+    Optional<Address> fleetAddress = reader.optionalAddress("fleet-address");
     return new GatewaySettings(
         reader.text("name"),
         reader.text("domain"),
@@ -97,8 +97,8 @@
         reader.address("ready-address"),
         reader.address("metrics-address"),
         reader.address("platform-address"),
-        reader.optionalAddress("fleet-address"),
-        seeds(reader),
+        fleetAddress,
+        seeds(reader, fleetAddress),
         reader.integer("key-revocation-ms", 1, MAX_MILLIS, 5_000),
         MILLIS_PER_SECOND * reader.integer("shutdown-seconds", 1, MAX_SECONDS, 8),
         reader.decimal("retry-ratio", 0, 1, 0.2),
