Logs and metrics tell how outdated weights are when a generation starts

What callers saw: generations on weights that had been replaced long before, with nothing in the logs to tell a restart, a gap in the watch and a wait at the engine apart.

weights-named has the source of the version and the age from which it is counted; placed has the engine's weights and their age; started-outdated and a histogram have the age at the start; store-away of the versions watch is written once per outage, with store-back and the time without news.

Measured: GatewayIntegrationTest and RolloutPlanTest pass.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -235,11 +235,6 @@
 
   private Placement placeOnEngine(
       Service.Engines engines, PromptShape prompt, List<Replica> usable, long remaining, long now) {
-    WeightPreference preference =
-        WeightPreference.of(
-            context.weights().target(prompt.model()),
-            Moment.now(),
-            context.settings().weightsChangeMillis());
     return context
         .enginePlacement()
         .choose(
@@ -247,7 +242,7 @@
             this::salt,
             engines,
             usable,
-            preference,
+            weightPreference(prompt.model()),
             context.cacheStores(),
             triedReplicas,
             priority(),
@@ -256,6 +251,11 @@
             now);
   }
 
+  private WeightPreference weightPreference(String model) {
+    return WeightPreference.of(
+        context.weights().target(model), Moment.now(), context.settings().weightsChangeMillis());
+  }
+
   private String salt(int version) {
     String model = request.prompt().map(PromptShape::model).orElse("");
     return new CacheSalt(model, version, holder.isIsolated() ? holder.customer() : "").text();
@@ -430,6 +430,7 @@
     private final BoundedBuffer buffer = BoundedBuffer.of(MAX_BODY_BYTES);
     private OutboundRequest outbound;
     private Replica.InFlightRequest inFlight;
+    private int weightVersion;
     private ResponseHead head;
     private UpstreamResponse response;
     private boolean isEnded;
@@ -441,8 +442,8 @@
 
     void start(long remaining, long maxIdle) {
       Optional<PromptShape> prompt = request.prompt();
-      int version = prompt.map(p -> replica.version(p.model())).orElse(0);
-      final String salt = prompt.isPresent() ? salt(version) : "";
+      weightVersion = prompt.map(p -> replica.version(p.model())).orElse(0);
+      final String salt = prompt.isPresent() ? salt(weightVersion) : "";
       int uncached = placement.cache().prefillTokens();
       long now = MonotonicClock.millis();
       long overdue = now + 2 * Math.max(placement.expectedMillis(), route.goalMillis());
@@ -471,7 +472,7 @@
                   lastEvent,
                   prompt.isPresent() ? priority() : -1,
                   salt,
-                  version,
+                  weightVersion,
                   placement.cache().sources(),
                   context.replicaClock().at(now + placement.maxFetchMillis(), now).orElse(-1),
                   cacheTargets),
@@ -498,7 +499,11 @@
               "own",
               replica.ownRequests(),
               "toldWaiting",
-              replica.reportedLoad().waiting());
+              replica.reportedLoad().waiting(),
+              "weights",
+              weightVersion,
+              "outdatedMs",
+              outdatedMillis());
       context
           .metrics()
           .placed(placement.cache().sharedPrefillTokens(), placement.cache().fetchedTokens());
@@ -507,6 +512,32 @@
       context.upstreamPool().send(replica.entry().address(), outbound, maxIdle);
     }
 
+    /** Returns how long the weights that the request was sent for have been outdated, in ms. */
+    private long outdatedMillis() {
+      return request
+          .prompt()
+          .map(prompt -> weightPreference(prompt.model()).outdatedMillis(weightVersion))
+          .orElse(0L);
+    }
+
+    private void logOutdatedStart(long outdatedMillis, long waitedMillis) {
+      context.metrics().startedOutdated(outdatedMillis);
+      context
+          .log()
+          .event(
+              "started-outdated",
+              "request",
+              request.id(),
+              "replica",
+              replica.entry().id(),
+              "weights",
+              weightVersion,
+              "outdatedMs",
+              outdatedMillis,
+              "waitedMs",
+              waitedMillis);
+    }
+
     private long memoryTokens() {
       return context
           .configuration()
@@ -589,6 +620,10 @@
       }
       mayHaveRun = true;
       replica.breaker().succeeded();
+      long outdatedMillis = outdatedMillis();
+      if (outdatedMillis > 0) {
+        logOutdatedStart(outdatedMillis, now - inFlight.sentMillis());
+      }
       if (route.kind() == RouteKind.STREAM) {
         if (placement.isAlone() && placement.cache().transferMillis() == 0) {
           context
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -129,6 +129,12 @@
             "bulrushpier.fleet.reporting",
             "Other instances whose load is known",
             () -> context.peerLoads().size());
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.weights.outdated.engines",
+            "Engines whose weights are older than the requested ones",
+            rollouts::outdatedEngines);
     long wait = context.keyFreshness().watchMillis();
     watch(
         StoreFormat.CONFIGURATIONS,
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -42,6 +42,11 @@
   private final Counter fetched =
       counter("bulrushpier.prompt.fetched", "Prompt tokens fetched from stores");
 
+  private final Timer outdatedWeights =
+      timer(
+          "bulrushpier.weights.outdated",
+          "Time since the request for newer weights when a generation starts on older ones");
+
   private Timer timer(String name, String description) {
     return Timer.builder(name)
         .description(description)
@@ -79,6 +84,11 @@
     firstEvents.record(Duration.ofMillis(millis));
   }
 
+  /** Counts a generation that starts on weights that have been outdated for the given time. */
+  void startedOutdated(long outdatedMillis) {
+    outdatedWeights.record(Duration.ofMillis(outdatedMillis));
+  }
+
   void placed(int sharedPrefillTokens, int fetchedTokens) {
     sharedRead.increment(sharedPrefillTokens);
     fetched.increment(fetchedTokens);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -96,6 +96,11 @@
     }
   }
 
+  /** Returns the number of engines whose weights are older than the requested ones. */
+  int outdatedEngines() {
+    return rollouts.values().stream().mapToInt(Rollout::outdatedEngines).sum();
+  }
+
   @Override
   public void listed(List<StoreObject> values, Moment sent) {
     values.forEach(value -> observe(value, false));
@@ -279,6 +284,11 @@
       pollChanging(target);
     }
 
+    private int outdatedEngines() {
+      int version = context.weights().target(model).version();
+      return (int) engines().stream().filter(engine -> engine.version(model) < version).count();
+    }
+
     private List<Replica> engines() {
       List<Replica> engines = new ArrayList<>();
       for (Replica replica : context.replicas().all()) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
@@ -22,35 +22,68 @@
    */
   private Moment lastCallSent;
 
+  private boolean isUnavailable;
+
   WeightsWatcher(GatewayContext context) {
     this.context = context;
   }
 
   @Override
   public void listed(List<StoreObject> values, Moment sent) {
-    values.forEach(value -> accept(value, lastCallSent == null ? sent : lastCallSent));
+    logRecovery();
+    String source = lastCallSent == null ? "first list" : "list";
+    values.forEach(value -> accept(value, source, lastCallSent == null ? sent : lastCallSent));
     lastCallSent = sent;
   }
 
   @Override
   public void changed(List<Event> events, Moment sent) {
-    events.forEach(event -> accept(event.value(), sent));
+    logRecovery();
+    events.forEach(event -> accept(event.value(), "watch", sent));
     lastCallSent = sent;
   }
 
-  private void accept(StoreObject value, Moment requestedAfter) {
+  private void accept(StoreObject value, String source, Moment requestedAfter) {
     try {
       SiteFormat.RequestedWeights requested = SiteFormat.weights(value.content());
       if (context.weights().update(requested.model(), requested.version(), requestedAfter)) {
-        context.logChange("weights-named", requested.model(), requested.version());
+        context
+            .log()
+            .event(
+                "weights-named",
+                "id",
+                requested.model(),
+                "detail",
+                requested.version(),
+                "source",
+                source,
+                "maxAgeMs",
+                requestedAfter.ageMillis(Moment.now()));
       }
     } catch (IllegalArgumentException e) {
       context.logChange("weights-unreadable", value.name(), e.getMessage());
     }
   }
 
+  private void logRecovery() {
+    if (isUnavailable) {
+      isUnavailable = false;
+      context
+          .log()
+          .event(
+              "store-back",
+              "kind",
+              StoreFormat.WEIGHTS,
+              "lastAnsweredMs",
+              lastCallSent == null ? -1 : lastCallSent.ageMillis(Moment.now()));
+    }
+  }
+
   @Override
   public void failed(String detail) {
-    context.log().event("store-away", "kind", StoreFormat.WEIGHTS, "detail", detail);
+    if (!isUnavailable) {
+      isUnavailable = true;
+      context.log().event("store-away", "kind", StoreFormat.WEIGHTS, "detail", detail);
+    }
   }
 }
--- a/library/src/main/java/org/bulrushpier/rollout/WeightPreference.java
+++ b/library/src/main/java/org/bulrushpier/rollout/WeightPreference.java
@@ -75,7 +75,13 @@
         : OUTDATED_COST_MILLIS + COST_GROWTH * (outdated - GRACE_MILLIS);
   }
 
-  private long outdatedMillis(int served) {
-    return target.outdatedSince(served).ageMillis(now);
+  /**
+   * Returns how long an engine's weights have been outdated.
+   *
+   * @param served the version that the engine serves
+   * @return the time in milliseconds, or 0 if no newer version was requested
+   */
+  public long outdatedMillis(int served) {
+    return served >= target.version() ? 0 : target.outdatedSince(served).ageMillis(now);
   }
 }
