Failing tests: a restart makes outdated weights young again

The tests run the gateway against fakes whose engines carry out no orders, wait until outdated engines are refused, restart the instance and count generations.

--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -55,6 +55,7 @@
   private final AtomicLong endlessBytes = new AtomicLong();
   private Behaviour behaviour = Behaviour.ANSWER;
   private int version = 1;
+  private boolean isIgnoringOrders;
 
   /**
    * An executed request.
@@ -99,6 +100,11 @@
     behaviour = next;
   }
 
+  /** Closes the connections of all further orders without carrying them out. */
+  public synchronized void ignoreOrders() {
+    isIgnoringOrders = true;
+  }
+
   /** Releases the requests and streams that are waiting. */
   public void release() {
     released.countDown();
@@ -154,6 +160,9 @@
 
   private synchronized boolean order(RawHttpServer.Request request, Socket socket)
       throws IOException {
+    if (isIgnoringOrders) {
+      return false;
+    }
     orders.add(request.body());
     version++;
     return RawHttpServer.sendJson(socket, ACCEPTED, "");
--- /dev/null
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -0,0 +1,237 @@
+package org.bulrushpier.rig;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.bulrushpier.Address;
+import org.bulrushpier.Finding;
+import org.bulrushpier.daemon.serve.Gateway;
+import org.bulrushpier.rig.gateway.MetadataStoreFake;
+import org.bulrushpier.rig.gateway.ReplicaFake;
+import org.bulrushpier.settings.GatewaySettings;
+
+/**
+ * A site with fakes of the metadata store and of engines, and with gateways that exchange
+ * datagrams. Used by one thread.
+ */
+final class GatewaySite implements AutoCloseable {
+
+  /** The time within which new weights must be in place, in milliseconds. */
+  static final long CHANGE_MILLIS = 5_000;
+
+  /** More engines than change their weights at the same time. */
+  private static final int ENGINES = 6;
+
+  private static final String CONFIGURATION =
+      """
+      {"version":1,"routes":[
+        {"name":"stream1","host":"127.0.0.1","path_prefix":"/stream/","kind":"streaming",
+         "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":2,"can_resume":true},
+        {"name":"stream2","host":"127.0.0.2","path_prefix":"/stream/","kind":"streaming",
+         "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":2,"can_resume":true}],
+       "services":[
+        {"name":"engines","max_conns":50,"engine":{"slots":6,"kv_capacity":50000,"kv_bytes":1000,
+         "link_mbps":1000.0,"models":[{"name":"m0"}]}}],
+       "limits":{},"tenants":[{"name":"surco","api_keys":["key"],"priority":1}]}
+      """;
+
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final MetadataStoreFake metadataStore;
+  private final List<ReplicaFake> engines = new ArrayList<>();
+  private final List<Instance> instances = new ArrayList<>();
+  private int lastId;
+
+  /** An instance of the gateway, which can be stopped and started again with the same addresses. */
+  final class Instance {
+    private final GatewaySettings settings;
+    private Gateway gateway;
+
+    private Instance(GatewaySettings settings) throws IOException {
+      this.settings = settings;
+      gateway = Gateway.start(settings);
+    }
+
+    /** Stops the instance without warning and starts it again, and waits until it is ready. */
+    void restart() throws Exception {
+      gateway.stop();
+      gateway = Gateway.start(settings);
+      awaitReady();
+    }
+
+    void awaitReady() throws Exception {
+      await(() -> status("http://" + settings.readyAddress() + "/ready") == 200);
+    }
+
+    /** Sends a generation and returns the status of the response. */
+    int generate() {
+      return status(generation());
+    }
+
+    /** Returns a generation request, to which header fields can be added. */
+    HttpRequest.Builder generation() {
+      return HttpRequest.newBuilder(URI.create("http://" + settings.callerAddress() + "/stream/a"))
+          .timeout(Duration.ofSeconds(30))
+          .header("Attempt-Id", "id" + ++lastId)
+          .header("Deadline-Ms", "20000")
+          .header("Authorization", "Bearer key")
+          .header("Model", "m0")
+          .header("Token-Usage", "100,5")
+          .header("Prefix-Hash", "a1:80,b2:20")
+          .POST(HttpRequest.BodyPublishers.ofString("prompt"));
+    }
+
+    /** Returns the value of a metric without labels. */
+    double metric(String name) {
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create("http://" + settings.metricsAddress() + "/")).build();
+      try {
+        return client
+            .send(request, HttpResponse.BodyHandlers.ofString())
+            .body()
+            .lines()
+            .filter(line -> line.startsWith(name + " "))
+            .mapToDouble(line -> Double.parseDouble(line.substring(line.indexOf(' '))))
+            .sum();
+      } catch (IOException e) {
+        return 0;
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+
+  private GatewaySite() throws IOException {
+    metadataStore = MetadataStoreFake.start();
+  }
+
+  /** Starts the fakes; the engines serve version 1 of the model m0. */
+  static GatewaySite start() throws IOException {
+    GatewaySite site = new GatewaySite();
+    site.metadataStore.put("config", "main", CONFIGURATION);
+    site.metadataStore.put("versions", "m0", "{\"model\":\"m0\",\"version\":1}");
+    for (int i = 0; i < ENGINES; i++) {
+      ReplicaFake engine = ReplicaFake.start("e" + i);
+      site.engines.add(engine);
+      site.metadataStore.put("servers", "e" + i, engine.entry("engines", "ready"));
+    }
+    return site;
+  }
+
+  MetadataStoreFake metadataStore() {
+    return metadataStore;
+  }
+
+  List<ReplicaFake> engines() {
+    return engines;
+  }
+
+  /** Requests a version of the model, as an operator does. */
+  void requestVersion(int version) throws IOException {
+    metadataStore.put("versions", "m0", "{\"model\":\"m0\",\"version\":%d}".formatted(version));
+  }
+
+  /** Returns the number of requests that the engines have executed. */
+  int executed() {
+    return engines.stream().mapToInt(engine -> engine.executions().size()).sum();
+  }
+
+  /**
+   * Starts one or two instances on loopback addresses of their own, which know the first one as a
+   * seed.
+   */
+  List<Instance> startInstances(int count) throws Exception {
+    int port = freeAddress("127.0.0.1").port();
+    for (int i = 1; i <= count; i++) {
+      instances.add(new Instance(settings("127.0.0." + i, port)));
+    }
+    for (Instance instance : instances) {
+      instance.awaitReady();
+      await(() -> instance.metric("bulrushpier_fleet_reporting") == count - 1);
+    }
+    return List.copyOf(instances);
+  }
+
+  private GatewaySettings settings(String host, int fleetPort) throws IOException {
+    String text =
+        """
+        [gateway]
+        name = entry-%s
+        domain = norte
+        caller-address = %s
+        ready-address = %s
+        metrics-address = %s
+        platform-address = %s
+        fleet-address = %s:%d
+        seeds = 127.0.0.1:%d
+        order-lease-ms = 300
+        weights-change-ms = %d
+        """
+            .formatted(
+                host,
+                freeAddress(host),
+                freeAddress(host),
+                freeAddress(host),
+                metadataStore.address(),
+                host,
+                fleetPort,
+                fleetPort,
+                CHANGE_MILLIS);
+    List<Finding> findings = new ArrayList<>();
+    GatewaySettings settings = GatewaySettings.parse("test.ini", text, findings);
+    if (!findings.isEmpty()) {
+      throw new IllegalStateException(findings.toString());
+    }
+    return settings;
+  }
+
+  private static Address freeAddress(String host) throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new Address(host, socket.getLocalPort());
+    }
+  }
+
+  private int status(String uri) {
+    return status(HttpRequest.newBuilder(URI.create(uri)));
+  }
+
+  /** Sends a request and returns the status of the response, or 0 without one. */
+  int status(HttpRequest.Builder request) {
+    try {
+      return client.send(request.build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Waits until the condition holds; the limit of 60 s is reached only by a test that fails. */
+  static void await(BooleanSupplier condition) throws InterruptedException {
+    long deadline = System.nanoTime() + Duration.ofSeconds(60).toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        throw new AssertionError("the condition did not hold within 60 s");
+      }
+      Thread.sleep(20);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (Instance instance : instances) {
+      instance.gateway.stop();
+    }
+    for (ReplicaFake engine : engines) {
+      engine.close();
+    }
+    metadataStore.close();
+  }
+}
--- /dev/null
+++ b/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
@@ -0,0 +1,65 @@
+package org.bulrushpier.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.bulrushpier.MonotonicClock;
+import org.bulrushpier.rig.GatewaySite.Instance;
+import org.bulrushpier.rig.gateway.ReplicaFake;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests that no generation starts on weights that have been outdated for longer than the time
+ * allowed for a change, while the engines carry out no orders.
+ */
+class OutdatedWeightsIntegrationTest {
+
+  private GatewaySite site;
+
+  @BeforeEach
+  void start() throws Exception {
+    site = GatewaySite.start();
+    site.engines().forEach(ReplicaFake::ignoreOrders);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    site.close();
+  }
+
+  /** Sends generations for a while and returns how many the engines executed. */
+  private int executedWithin(Instance instance, long millis) throws Exception {
+    int before = site.executed();
+    long end = MonotonicClock.millis() + millis;
+    while (MonotonicClock.millis() < end) {
+      instance.generate();
+      Thread.sleep(50);
+    }
+    return site.executed() - before;
+  }
+
+  @Test
+  void restartGivesOutdatedEnginesNoMoreTime() throws Exception {
+    Instance restarted = site.startInstances(2).get(1);
+    site.requestVersion(2);
+    GatewaySite.await(() -> restarted.generate() == 503);
+
+    restarted.restart();
+    Thread.sleep(500);
+
+    assertThat(executedWithin(restarted, 2_000)).isZero();
+  }
+
+  @Test
+  void restartWithoutOtherInstancesUsesOutdatedEnginesOnlyBriefly() throws Exception {
+    Instance restarted = site.startInstances(1).get(0);
+    site.requestVersion(2);
+    GatewaySite.await(() -> restarted.generate() == 503);
+
+    restarted.restart();
+    Thread.sleep(2_000);
+
+    assertThat(executedWithin(restarted, 1_500)).isZero();
+  }
+}
