Instances tell each other when a weight version was requested

What callers saw: generations began on weights whose successor had been requested 11.5 s before, where 8 s are allowed; all of them at instances that had been restarted in between.

Cause: the age of a version is a belief of one process. A process that starts takes the moment of its first list as the moment before which the version was not requested, so each restart gave outdated engines the whole time for a change once more. A version whose predecessor it did not see also hid how long engines two versions behind had been outdated.

Change: a request for a version is an interval (RequestInterval): when it was certainly not made yet, and by when it was made. The first list has no first moment. An instance whose interval is not precise asks others by datagram (WeightInquiry); it counts the ages of an answer from the moment at which it asked, so neither a delay nor a suspension makes a version younger, and intersects intervals, so passing them on does not either. An answer has the earlier versions too. While nobody knows, outdated engines are used for 1.5 s after the version was first seen by anyone, then not at all. No call to the platform is added.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -7,21 +7,26 @@
 import java.nio.channels.DatagramChannel;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.bulrushpier.Address;
 import org.bulrushpier.BulrushpierException;
 import org.bulrushpier.Codec;
+import org.bulrushpier.Moment;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.daemon.net.EventLoop;
 import org.bulrushpier.fleet.FleetMessage;
 import org.bulrushpier.fleet.Membership;
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.fleet.UpstreamLoad;
+import org.bulrushpier.fleet.WeightAge;
 import org.bulrushpier.replica.Replica;
 
 /**
- * Exchanges load reports and lists of instances with the other instances of the site.
+ * Exchanges load reports, lists of instances and the ages of requested weight versions with the
+ * other instances of the site.
  *
  * <p>Uses datagrams: a report is obsolete after a fraction of a second, so a lost one is not worth
  * a retransmission, and an unreachable instance cannot hold up the others. The interval grows with
@@ -51,6 +56,9 @@
   /** The most upstreams in one report, which keeps it within a datagram. */
   private static final int MAX_UPSTREAMS = 200;
 
+  /** The number of instances that get the same question. */
+  private static final int MAX_ASKED = 3;
+
   private final GatewayContext context;
   private final EventLoop loop;
   private final EventLog log;
@@ -111,6 +119,7 @@
     peerLoads.expire(nowMillis);
     reportLoad(nowMillis);
     exchangeMembers(nowMillis);
+    askForWeights(nowMillis);
   }
 
   private void reportLoad(long nowMillis) {
@@ -141,6 +150,34 @@
     }
   }
 
+  private void askForWeights(long nowMillis) {
+    Optional<FleetMessage.WeightQuestion> question =
+        context.weightInquiry().nextQuestion(Moment.now());
+    if (question.isPresent()) {
+      List<Address> contacts = new ArrayList<>(membership.contacts(nowMillis));
+      Collections.shuffle(contacts);
+      byte[] bytes = Codec.messagePack().write(question.get());
+      contacts.stream().limit(MAX_ASKED).forEach(contact -> send(contact, bytes));
+    }
+  }
+
+  private void weightsTold(Address sender, FleetMessage.WeightAnswer answer) {
+    for (WeightAge age : context.weightInquiry().apply(answer, Moment.now())) {
+      log.event(
+          "weights-dated",
+          "id",
+          age.model(),
+          "detail",
+          age.version(),
+          "from",
+          sender,
+          "maxAgeMs",
+          age.maxMillis(),
+          "minAgeMs",
+          age.minMillis());
+    }
+  }
+
   private void sendLoad(List<Address> contacts, long nowMillis) {
     List<UpstreamLoad> upstreams = new ArrayList<>();
     for (Replica replica : context.replicas().all()) {
@@ -220,6 +257,11 @@
           sendMembers(sender, false, now);
         }
       }
+      case FleetMessage.WeightQuestion question ->
+          send(
+              sender,
+              Codec.messagePack().write(context.weightInquiry().answer(question, Moment.now())));
+      case FleetMessage.WeightAnswer answer -> weightsTold(sender, answer);
     }
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -20,6 +20,7 @@
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.replica.ReplicaTable;
 import org.bulrushpier.rollout.TargetWeights;
+import org.bulrushpier.rollout.WeightInquiry;
 import org.bulrushpier.settings.GatewaySettings;
 import org.bulrushpier.site.KeyFreshness;
 import org.bulrushpier.site.KnownConfiguration;
@@ -42,6 +43,7 @@
   private final KnownConfiguration configuration = new KnownConfiguration();
   private final ReplicaTable replicas = new ReplicaTable();
   private final TargetWeights weights = new TargetWeights();
+  private final WeightInquiry weightInquiry = WeightInquiry.of(weights);
   private final ReplicaClock replicaClock = new ReplicaClock();
   private final PrefillRate prefillRate = new PrefillRate();
   private final PeerLoads peerLoads = new PeerLoads();
@@ -96,6 +98,10 @@
     return weights;
   }
 
+  WeightInquiry weightInquiry() {
+    return weightInquiry;
+  }
+
   /** Returns the clock that replicas and cache stores share. */
   ReplicaClock replicaClock() {
     return replicaClock;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
@@ -6,6 +6,7 @@
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
+import org.bulrushpier.rollout.RequestInterval;
 
 /**
  * Watches the weight versions that operators request in the platform's metadata store.
@@ -16,11 +17,8 @@
 
   private final GatewayContext context;
 
-  /**
-   * When the last successful call was sent. A version that only a later call returns was requested
-   * after this moment.
-   */
-  private Moment lastCallSent;
+  /** When the last successful call was sent, or the distant past before the first one. */
+  private Moment lastCallSent = Moment.DISTANT_PAST;
 
   private boolean isUnavailable;
 
@@ -31,8 +29,9 @@
   @Override
   public void listed(List<StoreObject> values, Moment sent) {
     logRecovery();
-    String source = lastCallSent == null ? "first list" : "list";
-    values.forEach(value -> accept(value, source, lastCallSent == null ? sent : lastCallSent));
+    String source = context.weights().isListed() ? "list" : "first list";
+    values.forEach(value -> accept(value, source, lastCallSent));
+    context.weights().markListed();
     lastCallSent = sent;
   }
 
@@ -43,10 +42,11 @@
     lastCallSent = sent;
   }
 
-  private void accept(StoreObject value, String source, Moment requestedAfter) {
+  private void accept(StoreObject value, String source, Moment notBefore) {
     try {
       SiteFormat.RequestedWeights requested = SiteFormat.weights(value.content());
-      if (context.weights().update(requested.model(), requested.version(), requestedAfter)) {
+      RequestInterval interval = new RequestInterval(notBefore, Moment.now());
+      if (context.weights().update(requested.model(), requested.version(), interval)) {
         context
             .log()
             .event(
@@ -58,7 +58,7 @@
                 "source",
                 source,
                 "maxAgeMs",
-                requestedAfter.ageMillis(Moment.now()));
+                interval.isDated() ? notBefore.ageMillis(interval.notAfter()) : -1);
       }
     } catch (IllegalArgumentException e) {
       context.logChange("weights-unreadable", value.name(), e.getMessage());
--- a/library/src/main/java/org/bulrushpier/Moment.java
+++ b/library/src/main/java/org/bulrushpier/Moment.java
@@ -19,6 +19,9 @@
  */
 public record Moment(long monotonicMillis, long wallMillis) {
 
+  /** A moment long before the start of the process. */
+  public static final Moment DISTANT_PAST = new Moment(Long.MIN_VALUE / 4, Long.MIN_VALUE / 4);
+
   /** Reads both clocks. */
   public static Moment now() {
     return new Moment(MonotonicClock.millis(), System.currentTimeMillis());
--- a/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
+++ b/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
@@ -13,7 +13,9 @@
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
 @JsonSubTypes({
   @JsonSubTypes.Type(value = FleetMessage.Load.class, name = "l"),
-  @JsonSubTypes.Type(value = FleetMessage.Members.class, name = "m")
+  @JsonSubTypes.Type(value = FleetMessage.Members.class, name = "m"),
+  @JsonSubTypes.Type(value = FleetMessage.WeightQuestion.class, name = "q"),
+  @JsonSubTypes.Type(value = FleetMessage.WeightAnswer.class, name = "a")
 })
 public sealed interface FleetMessage {
 
@@ -48,4 +50,27 @@
       addresses = List.copyOf(addresses);
     }
   }
+
+  /**
+   * Asks when the known weight versions were requested.
+   *
+   * @param id the number of the question, which the answer repeats
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record WeightQuestion(long id) implements FleetMessage {}
+
+  /**
+   * Tells when the weight versions that the sender knows were requested.
+   *
+   * @param id the number of the question
+   * @param ages the versions with their ages at the time of the answer
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record WeightAnswer(long id, List<WeightAge> ages) implements FleetMessage {
+
+    /** Copies the list. */
+    public WeightAnswer {
+      ages = List.copyOf(ages);
+    }
+  }
 }
--- a/library/src/main/java/org/bulrushpier/rollout/WeightPreference.java
+++ b/library/src/main/java/org/bulrushpier/rollout/WeightPreference.java
@@ -22,6 +22,12 @@
   /** The increase of the cost, in milliseconds, with each further millisecond. */
   private static final double COST_GROWTH = 0.05;
 
+  /**
+   * How long outdated weights are used after a version was first seen, in milliseconds, if it may
+   * have been requested long before. Without it, all engines would be excluded at once.
+   */
+  private static final long UNDATED_GRACE_MILLIS = 1_500;
+
   /** How long before the end of the allowed time outdated weights are excluded, in milliseconds. */
   private static final long MARGIN_MILLIS = 700;
 
@@ -76,12 +82,19 @@
   }
 
   /**
-   * Returns how long an engine's weights have been outdated.
+   * Returns how long an engine's weights have been outdated. If it is not known when their
+   * successor was requested, they are outdated soon after it was seen.
    *
    * @param served the version that the engine serves
    * @return the time in milliseconds, or 0 if no newer version was requested
    */
   public long outdatedMillis(int served) {
-    return served >= target.version() ? 0 : target.outdatedSince(served).ageMillis(now);
+    if (served >= target.version()) {
+      return 0;
+    }
+    RequestInterval requested = target.outdatedBy(served);
+    long sinceSeen =
+        requested.notAfter().ageMillis(now) + Math.max(0, limitMillis - UNDATED_GRACE_MILLIS);
+    return Math.min(requested.notBefore().ageMillis(now), sinceSeen);
   }
 }
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -12,6 +12,7 @@
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.replica.Replica;
+import org.bulrushpier.rollout.RequestInterval;
 import org.bulrushpier.rollout.TargetWeights;
 import org.bulrushpier.rollout.WeightPreference;
 import org.junit.jupiter.api.Test;
@@ -35,7 +36,7 @@
 
   private static WeightPreference preference(int version, long ageMillis) {
     return WeightPreference.of(
-        new TargetWeights.TargetVersion(version, new Moment(0, 0)),
+        new TargetWeights.TargetVersion(version, RequestInterval.at(new Moment(0, 0))),
         new Moment(ageMillis, ageMillis),
         8_000);
   }
--- a/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
@@ -14,6 +14,7 @@
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.replica.Replica;
+import org.bulrushpier.rollout.RequestInterval;
 import org.bulrushpier.rollout.TargetWeights;
 import org.bulrushpier.rollout.WeightPreference;
 import org.bulrushpier.site.Service;
@@ -119,7 +120,9 @@
               service,
               replicas,
               WeightPreference.of(
-                  new TargetWeights.TargetVersion(1, new Moment(0, 0)), new Moment(0, 0), 8_000),
+                  new TargetWeights.TargetVersion(1, RequestInterval.at(new Moment(0, 0))),
+                  new Moment(0, 0),
+                  8_000),
               List.of(),
               Set.of(),
               call.priority,
--- a/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
@@ -53,15 +53,19 @@
     assertThat(RolloutPlan.next("m", 2, engines, Set.of())).isEmpty();
   }
 
+  private static boolean update(TargetWeights weights, int version, long millis) {
+    return weights.update("m", version, RequestInterval.at(new Moment(millis, millis)));
+  }
+
   @Test
   void targetVersionNeverDecreases() {
     TargetWeights weights = new TargetWeights();
-    assertThat(weights.update("m", 3, new Moment(5, 5))).isTrue();
-    assertThat(weights.update("m", 2, new Moment(6, 6))).isFalse();
-    assertThat(weights.update("m", 3, new Moment(7, 7))).isFalse();
+    assertThat(update(weights, 3, 5)).isTrue();
+    assertThat(update(weights, 2, 6)).isFalse();
+    assertThat(update(weights, 3, 7)).isFalse();
 
     assertThat(weights.target("m").version()).isEqualTo(3);
-    assertThat(weights.target("m").since()).isEqualTo(new Moment(5, 5));
+    assertThat(weights.target("m").requested().notBefore()).isEqualTo(new Moment(5, 5));
     assertThat(weights.target("n").version()).isZero();
   }
 
@@ -100,8 +104,8 @@
   @Test
   void furtherVersionGivesOutdatedEnginesNoMoreTime() {
     TargetWeights weights = new TargetWeights();
-    weights.update("m", 2, new Moment(20_000, 20_000));
-    weights.update("m", 3, new Moment(29_000, 29_000));
+    update(weights, 2, 20_000);
+    update(weights, 3, 29_000);
     WeightPreference preference =
         WeightPreference.of(weights.target("m"), new Moment(29_200, 29_200), 8_000);
 
