A gap in the watch of requested weights gives outdated engines no more time

What callers saw: nothing reported; found while looking for the same cause elsewhere. An instance whose watch gets no answer for a while used outdated engines for the whole time for a change once more.

Cause: the version was taken as requested after the sending of the watch that returned it. A watch returns what changed since the last answer, so after failed or silent calls the version may be as old as that answer.

Change: StoreWatch tells its listeners after which moment changes were made: the end of a wait that passed without a change, otherwise the sending of the last successful call. A call without a wait follows changes of requested weights, so that a version requested soon afterwards is not taken as older than it is.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
@@ -26,13 +26,13 @@
   }
 
   @Override
-  public void listed(List<StoreObject> values, Moment sent) {
+  public void listed(List<StoreObject> values, Moment sent, Moment changedAfter) {
     logRecovery();
     values.forEach(value -> accept(value, sent));
   }
 
   @Override
-  public void changed(List<Event> events, Moment sent) {
+  public void changed(List<Event> events, Moment sent, Moment changedAfter) {
     logRecovery();
     events.forEach(event -> accept(event.value(), sent));
     context.configuration().confirm(sent);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -56,7 +56,7 @@
   private static final StoreWatch.Timing REPLICA_TIMING = new StoreWatch.Timing(2_500, 250);
 
   /** New weights must be in place within 8 s, of which an order takes a few seconds. */
-  private static final StoreWatch.Timing WEIGHTS_TIMING = new StoreWatch.Timing(3_000, 50);
+  private static final StoreWatch.Timing WEIGHTS_TIMING = new StoreWatch.Timing(3_000, 50, true);
 
   /** The lease lists the engines that are changing; stale data only delays requests at those. */
   private static final StoreWatch.Timing LEASE_TIMING = new StoreWatch.Timing(3_000, 150);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
@@ -24,7 +24,7 @@
   }
 
   @Override
-  public void listed(List<StoreObject> values, Moment sent) {
+  public void listed(List<StoreObject> values, Moment sent, Moment changedAfter) {
     long now = MonotonicClock.millis();
     context.replicas().markStoreAvailable(now);
     Set<String> ids = new HashSet<>();
@@ -39,7 +39,7 @@
   }
 
   @Override
-  public void changed(List<Event> events, Moment sent) {
+  public void changed(List<Event> events, Moment sent, Moment changedAfter) {
     long now = MonotonicClock.millis();
     context.replicas().markStoreAvailable(now);
     for (Event event : events) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -102,12 +102,12 @@
   }
 
   @Override
-  public void listed(List<StoreObject> values, Moment sent) {
+  public void listed(List<StoreObject> values, Moment sent, Moment changedAfter) {
     values.forEach(value -> observe(value, false));
   }
 
   @Override
-  public void changed(List<Event> events, Moment sent) {
+  public void changed(List<Event> events, Moment sent, Moment changedAfter) {
     events.forEach(event -> observe(event.value(), event.isRemoved()));
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -27,11 +27,23 @@
 
   /** Receives the objects and their changes. */
   interface Listener {
-    /** Receives all objects of the kind, read by a call that was sent at the given moment. */
-    void listed(List<StoreObject> values, Moment sent);
-
-    /** Receives changes in their order; the list is empty if the watch ended without a change. */
-    void changed(List<Event> events, Moment sent);
+    /**
+     * Receives all objects of the kind.
+     *
+     * @param values the objects
+     * @param sent when the call was sent that read them
+     * @param changedAfter a moment after which all unknown changes were made, or the distant past
+     */
+    void listed(List<StoreObject> values, Moment sent, Moment changedAfter);
+
+    /**
+     * Receives changes in their order.
+     *
+     * @param events the changes; empty if the watch ended without a change
+     * @param sent when the call was sent that returned them
+     * @param changedAfter a moment after which all of them were made
+     */
+    void changed(List<Event> events, Moment sent, Moment changedAfter);
 
     /** A call to the store failed. */
     void failed(String detail);
@@ -43,8 +55,16 @@
    * @param waitMillis how long a watch waits for a change, in milliseconds
    * @param pauseMillis the pause after changes, in milliseconds, so that one call returns a series
    *     of changes
+   * @param isChangeConfirmed whether a call without a wait follows changes, so that the next
+   *     changes are known to be younger
    */
-  record Timing(long waitMillis, long pauseMillis) {}
+  record Timing(long waitMillis, long pauseMillis, boolean isChangeConfirmed) {
+
+    /** Creates a timing without confirmation of changes. */
+    Timing(long waitMillis, long pauseMillis) {
+      this(waitMillis, pauseMillis, false);
+    }
+  }
 
   /**
    * Time allowed for the response in addition to the wait, in milliseconds. A slow store takes a
@@ -67,6 +87,10 @@
   private final Listener listener;
   private final List<StoreObject> values = new ArrayList<>();
   private Moment listSentAt;
+
+  /** A moment at which the known state was certainly the newest. */
+  private Moment currentAt = Moment.DISTANT_PAST;
+
   private long revision = -1;
   private long backoffMillis = MIN_BACKOFF_MILLIS;
   private boolean isProbing = true;
@@ -126,7 +150,8 @@
       }
       revision = page.revision();
       succeeded();
-      listener.listed(List.copyOf(values), listSentAt);
+      listener.listed(List.copyOf(values), listSentAt, currentAt);
+      currentAt = listSentAt;
       next();
     } catch (IOException e) {
       failed("unreadable list of " + kind + " objects: " + e.getMessage());
@@ -142,10 +167,10 @@
         StoreFormat.watch(kind, revision, wait),
         new byte[0],
         limit,
-        this::changesReceived);
+        outcome -> changesReceived(wait, outcome));
   }
 
-  private void changesReceived(ControlClient.Outcome outcome) {
+  private void changesReceived(long waitMillis, ControlClient.Outcome outcome) {
     if (outcome.status() == GONE) {
       revision = -1;
       next();
@@ -159,8 +184,11 @@
       StoreFormat.Events events = StoreFormat.events(outcome.body());
       revision = events.revision();
       succeeded();
-      listener.changed(events.events(), outcome.sent());
-      if (events.events().isEmpty()) {
+      listener.changed(events.events(), outcome.sent(), currentAt);
+      boolean isEmpty = events.events().isEmpty();
+      currentAt = currentAt(isEmpty, waitMillis, outcome.sent(), Moment.now());
+      isProbing = !isEmpty && timing.isChangeConfirmed();
+      if (isEmpty) {
         next();
       } else {
         loop.after(timing.pauseMillis(), this::next);
@@ -170,6 +198,21 @@
     }
   }
 
+  /**
+   * Returns a moment at which the state returned by a watch was certainly the newest. The store
+   * answers a watch without a change at the end of its wait, unless it cuts the watch off.
+   *
+   * @param isEmpty whether the watch returned no change
+   * @param waitMillis how long the watch was to wait, in milliseconds
+   * @param sent when it was sent
+   * @param received when its response was received
+   * @return the end of a wait that passed without a change, otherwise the moment of sending
+   */
+  static Moment currentAt(boolean isEmpty, long waitMillis, Moment sent, Moment received) {
+    boolean isWholeWait = isEmpty && sent.ageMillis(received) >= waitMillis;
+    return isWholeWait ? sent.plusMillis(waitMillis) : sent;
+  }
+
   private void succeeded() {
     isProbing = false;
     backoffMillis = MIN_BACKOFF_MILLIS;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
@@ -17,9 +17,6 @@
 
   private final GatewayContext context;
 
-  /** When the last successful call was sent, or the distant past before the first one. */
-  private Moment lastCallSent = Moment.DISTANT_PAST;
-
   private boolean isUnavailable;
 
   WeightsWatcher(GatewayContext context) {
@@ -27,19 +24,17 @@
   }
 
   @Override
-  public void listed(List<StoreObject> values, Moment sent) {
-    logRecovery();
+  public void listed(List<StoreObject> values, Moment sent, Moment changedAfter) {
+    logRecovery(changedAfter);
     String source = context.weights().isListed() ? "list" : "first list";
-    values.forEach(value -> accept(value, source, lastCallSent));
+    values.forEach(value -> accept(value, source, changedAfter));
     context.weights().markListed();
-    lastCallSent = sent;
   }
 
   @Override
-  public void changed(List<Event> events, Moment sent) {
-    logRecovery();
-    events.forEach(event -> accept(event.value(), "watch", sent));
-    lastCallSent = sent;
+  public void changed(List<Event> events, Moment sent, Moment changedAfter) {
+    logRecovery(changedAfter);
+    events.forEach(event -> accept(event.value(), "watch", changedAfter));
   }
 
   private void accept(StoreObject value, String source, Moment notBefore) {
@@ -65,7 +60,7 @@
     }
   }
 
-  private void logRecovery() {
+  private void logRecovery(Moment lastCurrent) {
     if (isUnavailable) {
       isUnavailable = false;
       context
@@ -75,7 +70,7 @@
               "kind",
               StoreFormat.WEIGHTS,
               "lastAnsweredMs",
-              lastCallSent == null ? -1 : lastCallSent.ageMillis(Moment.now()));
+              context.weights().isListed() ? lastCurrent.ageMillis(Moment.now()) : -1);
     }
   }
 
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
@@ -17,7 +17,8 @@
  * lists and long-poll watches.
  *
  * <p>Faults: during an outage it answers 503; its change history can be discarded; responses to
- * writes can be dropped after the write has taken effect. Thread-safe; guarded by one lock.
+ * writes can be dropped after the write has taken effect; reads of one kind can be left without an
+ * answer. Thread-safe; guarded by one lock.
  */
 public final class MetadataStoreFake implements Closeable {
 
@@ -34,6 +35,7 @@
   private long oldestRevision;
   private boolean isDown;
   private int responsesToDrop;
+  private String silentKind = "";
 
   /** A committed change of an object. */
   private record Change(long revision, String key, ObjectNode object, boolean isRemoved) {}
@@ -125,6 +127,30 @@
     responsesToDrop = count;
   }
 
+  /**
+   * Leaves reads of a kind without an answer, also those that are waiting.
+   *
+   * @param kind the kind, or an empty text to answer all reads again
+   */
+  public synchronized void silenceReads(String kind) {
+    silentKind = kind;
+    notifyAll();
+  }
+
+  /** Waits until reads of a kind are answered again; returns whether they were not. */
+  private synchronized boolean awaitAnswers(String kind) {
+    boolean wasSilent = kind.equals(silentKind);
+    while (kind.equals(silentKind)) {
+      try {
+        wait();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return true;
+      }
+    }
+    return wasSilent;
+  }
+
   private ObjectNode commit(String key, JsonNode content) {
     ObjectNode object = json.createObjectNode();
     object
@@ -145,6 +171,9 @@
         return RawHttpServer.sendJson(socket, UNAVAILABLE, "{}");
       }
     }
+    if (request.method().equals("GET") && awaitAnswers(key)) {
+      return false;
+    }
     return switch (request.method()) {
       case "GET" ->
           request.query("watch", -1) >= 0
@@ -182,6 +211,9 @@
         }
         events = events(kind, since);
       }
+      if (awaitAnswers(kind)) {
+        return false;
+      }
       if (isDown) {
         return RawHttpServer.sendJson(socket, UNAVAILABLE, "{}");
       }
--- a/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
@@ -62,4 +62,19 @@
 
     assertThat(executedWithin(restarted, 1_500)).isZero();
   }
+
+  /** The watch gets no answer for longer than the time allowed for a change. */
+  @Test
+  void silentWatchGivesOutdatedEnginesNoMoreTime() throws Exception {
+    Instance instance = site.startInstances(1).get(0);
+    site.metadataStore().silenceReads("versions");
+    site.requestVersion(2);
+    Thread.sleep(GatewaySite.CHANGE_MILLIS + 500);
+
+    site.metadataStore().silenceReads("");
+    GatewaySite.await(() -> instance.metric("bulrushpier_weights_outdated_engines") > 0);
+    Thread.sleep(2_000);
+
+    assertThat(executedWithin(instance, 1_500)).isZero();
+  }
 }
