Engines are used only once the requested weights are known, and not without a look at versions

What callers saw: nothing reported; found while looking for the same cause elsewhere. A restarted instance that had the configuration but not yet the requested versions took every engine as up to date. A request to engines whose prompt could not be read was placed like one to a plain service, on engines with any weights.

Evidence: OutdatedWeightsIntegrationTest, both with engines outdated for longer than allowed: 46 generations executed within 3 s of a restart during which the list of versions got no answer; a request without a prompt was executed.

Change: an instance is ready, and places requests on engines, once it has listed the requested versions; until then it refuses them at once. Requests without a readable prompt go only to engines whose models' versions are all allowed.

Measured: both tests failed before and pass; GatewayIntegrationTest passes.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -215,14 +215,10 @@
     long now = MonotonicClock.millis();
     List<Replica> usable =
         context.replicas().replicasOf(service).stream().filter(r -> r.isUsable(now)).toList();
-    Placement placement;
-    if (target.isPresent()
-        && target.get() instanceof Service.Engines engines
-        && request.prompt().isPresent()) {
-      placement = placeOnEngine(engines, request.prompt().get(), usable, remaining, now);
-    } else {
-      placement = context.plainPlacement().choose(usable, triedReplicas, now);
-    }
+    Placement placement =
+        target.isPresent() && target.get() instanceof Service.Engines engines
+            ? placeOnEngine(engines, usable, remaining, now)
+            : context.plainPlacement().choose(usable, triedReplicas, now);
     switch (placement) {
       case Placement.Send send -> {
         leaveQueue();
@@ -234,7 +230,16 @@
   }
 
   private Placement placeOnEngine(
-      Service.Engines engines, PromptShape prompt, List<Replica> usable, long remaining, long now) {
+      Service.Engines engines, List<Replica> usable, long remaining, long now) {
+    if (!context.weights().isListed()) {
+      return new Placement.Refuse(
+          "the requested weights are not known yet", UNCONFIGURED_RETRY_MILLIS);
+    }
+    if (request.prompt().isEmpty()) {
+      List<Replica> allowed = usable.stream().filter(this::isEveryVersionAllowed).toList();
+      return context.plainPlacement().choose(allowed, triedReplicas, now);
+    }
+    PromptShape prompt = request.prompt().get();
     return context
         .enginePlacement()
         .choose(
@@ -251,6 +256,11 @@
             now);
   }
 
+  private boolean isEveryVersionAllowed(Replica engine) {
+    return engine.entry().weightVersions().keySet().stream()
+        .allMatch(model -> weightPreference(model).allows(engine.version(model), 0));
+  }
+
   private WeightPreference weightPreference(String model) {
     return WeightPreference.of(
         context.weights().target(model), Moment.now(), context.settings().weightsChangeMillis());
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -223,7 +223,8 @@
 
   private boolean isReady() {
     long age = context.configuration().ageMillis(Moment.now());
-    boolean isReady = !isShuttingDown && context.keyFreshness().isReady(age);
+    boolean isReady =
+        !isShuttingDown && context.keyFreshness().isReady(age) && context.weights().isListed();
     if (isReady != wasReady) {
       wasReady = isReady;
       context.log().event(isReady ? "ready" : "not-ready", "leaving", isShuttingDown);
--- a/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -59,11 +59,10 @@
       gateway = Gateway.start(settings);
     }
 
-    /** Stops the instance without warning and starts it again, and waits until it is ready. */
-    void restart() throws Exception {
+    /** Stops the instance without warning and starts it again. */
+    void restart() throws IOException {
       gateway.stop();
       gateway = Gateway.start(settings);
-      awaitReady();
     }
 
     void awaitReady() throws Exception {
@@ -75,16 +74,20 @@
       return status(generation());
     }
 
-    /** Returns a generation request, to which header fields can be added. */
-    HttpRequest.Builder generation() {
+    private HttpRequest.Builder generation() {
+      return requestWithoutPrompt()
+          .header("Model", "m0")
+          .header("Token-Usage", "100,5")
+          .header("Prefix-Hash", "a1:80,b2:20");
+    }
+
+    /** Returns a request to the engines that does not describe its prompt. */
+    HttpRequest.Builder requestWithoutPrompt() {
       return HttpRequest.newBuilder(URI.create("http://" + settings.callerAddress() + "/stream/a"))
           .timeout(Duration.ofSeconds(30))
           .header("Attempt-Id", "id" + ++lastId)
           .header("Deadline-Ms", "20000")
           .header("Authorization", "Bearer key")
-          .header("Model", "m0")
-          .header("Token-Usage", "100,5")
-          .header("Prefix-Hash", "a1:80,b2:20")
           .POST(HttpRequest.BodyPublishers.ofString("prompt"));
     }
 
--- a/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
@@ -46,6 +46,7 @@
     GatewaySite.await(() -> restarted.generate() == 503);
 
     restarted.restart();
+    restarted.awaitReady();
     Thread.sleep(500);
 
     assertThat(executedWithin(restarted, 2_000)).isZero();
@@ -58,6 +59,7 @@
     GatewaySite.await(() -> restarted.generate() == 503);
 
     restarted.restart();
+    restarted.awaitReady();
     Thread.sleep(2_000);
 
     assertThat(executedWithin(restarted, 1_500)).isZero();
@@ -77,4 +79,31 @@
 
     assertThat(executedWithin(instance, 1_500)).isZero();
   }
+
+  @Test
+  void restartedInstanceStartsNoGenerationBeforeItKnowsTheRequestedVersions() throws Exception {
+    Instance restarted = site.startInstances(1).get(0);
+    site.requestVersion(2);
+    GatewaySite.await(() -> restarted.generate() == 503);
+    site.metadataStore().silenceReads("versions");
+
+    restarted.restart();
+
+    assertThat(executedWithin(restarted, 3_000)).isZero();
+    site.metadataStore().silenceReads("");
+    restarted.awaitReady();
+  }
+
+  @Test
+  void requestWithoutReadablePromptStartsOnNoOutdatedEngine() throws Exception {
+    Instance instance = site.startInstances(1).get(0);
+    site.requestVersion(2);
+    GatewaySite.await(() -> instance.generate() == 503);
+    int executedBefore = site.executed();
+
+    int status = site.status(instance.requestWithoutPrompt());
+
+    assertThat(site.executed()).isEqualTo(executedBefore);
+    assertThat(status).isEqualTo(503);
+  }
 }
