A request whose connection opens late is not sent to an engine that became outdated meanwhile

What callers saw: nothing reported; found while looking for the same cause elsewhere. A connection may take seconds to open when the queue of new connections at the engine is full; the request was then sent on the decision of the time before. A request that became obsolete meanwhile was dropped without a word and its caller was answered at the deadline.

Change: when its connection is open, the request's weights are judged once more; one that is no longer wanted fails without being sent and is placed again, or refused at once if no time is left.

Evidence and measure: OutboundConnectionTest.requestThatBecameObsoleteWhileItsConnectionOpenedIsNotSent, with the outcome of the obsolete request asserted, timed out after 30 s before and passes. The path through a full queue of connections at an engine has no test of its own.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
@@ -139,12 +139,20 @@
 
     private OutboundRequest pollWaiting() {
       OutboundRequest next = waiting.poll();
-      while (next != null && (next.isCancelled() || next.listener().isObsolete())) {
+      while (next != null && (next.isCancelled() || isObsolete(next))) {
         next = waiting.poll();
       }
       return next;
     }
 
+    private boolean isObsolete(OutboundRequest request) {
+      boolean isObsolete = request.listener().isObsolete();
+      if (isObsolete) {
+        request.listener().failed("obsolete before its connection was open");
+      }
+      return isObsolete;
+    }
+
     void markIdle(OutboundConnection connection) {
       if (!idle.contains(connection) && all.contains(connection)) {
         connection.idleSinceMillis(MonotonicClock.millis());
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
@@ -26,9 +26,9 @@
 
     /**
      * Returns whether the request must no longer be sent. Asked when a connection for it has been
-     * opened, which may take long while the process is busy.
+     * opened, which may take long while the process or the peer is busy.
      *
-     * @return true if nobody waits for the response any more
+     * @return true if the request has failed without being sent
      */
     default boolean isObsolete() {
       return false;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -522,6 +522,17 @@
       context.upstreamPool().send(replica.entry().address(), outbound, maxIdle);
     }
 
+    /** Returns whether the engine would start the request before its weights are excluded. */
+    private boolean isVersionAllowed() {
+      return request
+          .prompt()
+          .map(
+              prompt ->
+                  weightPreference(prompt.model())
+                      .allows(weightVersion, placement.expectedMillis()))
+          .orElse(true);
+    }
+
     /** Returns how long the weights that the request was sent for have been outdated, in ms. */
     private long outdatedMillis() {
       return request
@@ -602,7 +613,7 @@
 
     @Override
     public boolean isObsolete() {
-      return remainingMillis() <= 0;
+      return remainingMillis() <= 0 || !isVersionAllowed();
     }
 
     @Override
@@ -801,6 +812,11 @@
         return;
       }
       end();
+      if (!outbound.isSent() && isObsolete()) {
+        context.log().event("not-sent", "request", request.id(), "replica", replica.entry().id());
+        place();
+        return;
+      }
       replica.breaker().failed(MonotonicClock.millis());
       context
           .log()
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
@@ -111,6 +111,7 @@
       assertThat(outcome(send(server.address(), "second"))).isEqualTo("complete: ok");
       assertThat(firstRead.get()).contains("second");
       assertThat(first.isSent).isFalse();
+      assertThat(outcome(first)).isEqualTo("failed");
     }
   }
 
