An engine that leaves its order unanswered does not hold up other engines

Cause: at most three engines or three tenths change at a time, and an engine counted as changing, and got no requests, from its selection until it served the version, also while its order got no response. Orders that are carried out seconds later made the engines change in batches, one after the other.

Evidence: OutdatedWeightsIntegrationTest.enginesThatLeaveOrdersUnansweredDoNotHoldUpOthers: three engines ignore all orders; the three others got none within 60 s.

An engine whose order got no response within 400 ms serves requests as before, counts no longer as changing and is ordered again every second; others are ordered meanwhile. It counts again once it reports that it changes.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.bulrushpier.Moment;
 import org.bulrushpier.MonotonicClock;
@@ -16,6 +18,7 @@
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.replica.Replica;
+import org.bulrushpier.rollout.EngineChange;
 import org.bulrushpier.rollout.LeaseRecord;
 import org.bulrushpier.rollout.OrderLease;
 import org.bulrushpier.rollout.RolloutPlan;
@@ -38,8 +41,8 @@
   /** Timeout of a call to the metadata store, a cache store or an engine, in milliseconds. */
   private static final long CALL_TIMEOUT_MILLIS = 700;
 
-  /** Interval between state reports requested from a changing engine, in milliseconds. */
-  private static final long REPORT_INTERVAL_MILLIS = 100;
+  /** Timeout of an order, in milliseconds, after which other engines are ordered. */
+  private static final long ORDER_TIMEOUT_MILLIS = 400;
 
   /** How long a changing engine gets no requests unless it finishes earlier, in milliseconds. */
   private static final long CHANGE_PAUSE_MILLIS = 4_000;
@@ -50,9 +53,6 @@
    */
   private static final long ANNOUNCED_PAUSE_MILLIS = 1_200;
 
-  /** How long after an accepted order a report may show the state before it, in milliseconds. */
-  private static final long REPORT_LAG_MILLIS = 800;
-
   /**
    * Minimum interval between two records of which engines are changing, in milliseconds: each
    * record is read by all instances.
@@ -68,9 +68,6 @@
   /** Time after which no call for older weights can still fetch cache parts, in milliseconds. */
   private static final long FREE_DELAY_MILLIS = 3_000;
 
-  /** How long an engine that does not answer may hold up other engines, in milliseconds. */
-  private static final long SILENCE_TIMEOUT_MILLIS = 1_500;
-
   /** How long an engine that did not answer is skipped, in milliseconds. */
   private static final long SKIP_MILLIS = 1_500;
 
@@ -195,20 +192,6 @@
     }
   }
 
-  /** An engine that is to change its weights, or is changing them. */
-  private static final class EngineChange {
-    private final long sinceMillis = MonotonicClock.millis();
-    private long answeredMillis = sinceMillis;
-    private long nextReportMillis;
-    private long acceptedMillis = Long.MIN_VALUE / 2;
-    private boolean isCallPending;
-
-    void callEnded() {
-      isCallPending = false;
-      nextReportMillis = MonotonicClock.millis() + REPORT_INTERVAL_MILLIS;
-    }
-  }
-
   /** The rollout of one model's weights. */
   private final class Rollout {
     private final String model;
@@ -343,7 +326,7 @@
           new LeaseRecord(
               context.settings().name(),
               version,
-              List.copyOf(changing.keySet()),
+              List.copyOf(activeChanges()),
               changed,
               isReleased);
       long revision = lease.revision();
@@ -407,15 +390,31 @@
       }
     }
 
+    /** Returns the ids of the engines that are changing, without those that leave orders open. */
+    private Set<String> activeChanges() {
+      Set<String> active = new LinkedHashSet<>();
+      changing.forEach(
+          (id, change) -> {
+            if (!change.isUnanswered()) {
+              active.add(id);
+            }
+          });
+      return active;
+    }
+
     private void selectEngines(TargetWeights.TargetVersion target, List<Replica> engines) {
       long now = MonotonicClock.millis();
+      Set<String> active = activeChanges();
       List<Replica> eligible =
           engines.stream()
               .filter(engine -> now >= skipUntilMillis.getOrDefault(engine.entry().id(), 0L))
+              .filter(
+                  engine ->
+                      active.contains(engine.entry().id())
+                          || !changing.containsKey(engine.entry().id()))
               .toList();
-      for (Replica engine :
-          RolloutPlan.next(model, target.version(), eligible, changing.keySet())) {
-        changing.put(engine.entry().id(), new EngineChange());
+      for (Replica engine : RolloutPlan.next(model, target.version(), eligible, active)) {
+        changing.put(engine.entry().id(), EngineChange.start(now));
         engine.pause(now + CHANGE_PAUSE_MILLIS);
         isRecordDue = true;
       }
@@ -430,12 +429,12 @@
         Replica engine = context.replicas().find(id);
         if (engine == null || engine.isLeaving()) {
           drop(id);
-        } else if (now - change.answeredMillis > SILENCE_TIMEOUT_MILLIS) {
+        } else if (change.isSilent(now)) {
           drop(id);
           engine.resume();
           skipUntilMillis.put(id, now + SKIP_MILLIS);
           context.log().event("engine-silent", "replica", id, "model", model);
-        } else if (!change.isCallPending && now >= change.nextReportMillis) {
+        } else if (change.isReportDue(now)) {
           requestReport(engine, change, target.version());
         }
       }
@@ -447,7 +446,7 @@
     }
 
     private void requestReport(Replica engine, EngineChange change, int version) {
-      change.isCallPending = true;
+      change.callSent();
       context
           .client()
           .call(
@@ -461,20 +460,22 @@
 
     private void reportReceived(
         Replica engine, EngineChange change, int version, ControlClient.Outcome outcome) {
-      change.callEnded();
+      change.callEnded(MonotonicClock.millis());
       if (!outcome.isOk()) {
         return;
       }
       try {
         EngineFormat.Report report = EngineFormat.report(outcome.body());
         long now = MonotonicClock.millis();
-        change.answeredMillis = now;
+        if (change.reported(report.isChanging(), now)) {
+          engine.pause(now + CHANGE_PAUSE_MILLIS);
+          isRecordDue = true;
+        }
         int servedVersion = report.weightVersions().getOrDefault(model, 0);
         if (servedVersion >= version && !report.isChanging()) {
           finished(engine, servedVersion);
         } else if (!report.isChanging()
-            && now - change.acceptedMillis > REPORT_LAG_MILLIS
-            && RolloutPlan.isDrained(now - change.sinceMillis, report.running(), report.waiting())
+            && change.isOrderDue(report.running(), report.waiting(), now)
             && lease.mayOrder(Moment.now())) {
           sendOrder(engine, change, version, report.acceptedOrders());
         }
@@ -488,7 +489,7 @@
     private void sendOrder(Replica engine, EngineChange change, int version, long acceptedOrders) {
       String id = engine.entry().id();
       long fence = lease.fence();
-      change.isCallPending = true;
+      change.callSent();
       byte[] body =
           EngineFormat.changeWeights(
               model, version, context.settings().name(), fence, acceptedOrders);
@@ -502,28 +503,35 @@
               id,
               EngineFormat.ORDER,
               body,
-              CALL_TIMEOUT_MILLIS,
+              ORDER_TIMEOUT_MILLIS,
               outcome -> orderAnswered(engine, change, version, outcome));
     }
 
     private void orderAnswered(
         Replica engine, EngineChange change, int version, ControlClient.Outcome outcome) {
-      change.callEnded();
+      long now = MonotonicClock.millis();
       switch (outcome.status()) {
         case ALREADY_CHANGED -> finished(engine, version);
-        case ACCEPTED -> change.acceptedMillis = MonotonicClock.millis();
-        default ->
-            context
-                .log()
-                .event(
-                    "order-unaccepted",
-                    "replica",
-                    engine.entry().id(),
-                    "status",
-                    outcome.status(),
-                    "detail",
-                    outcome.detail());
+        case ACCEPTED -> change.accepted(now);
+        default -> {
+          if (outcome.status() == ControlClient.NO_RESPONSE) {
+            change.unanswered(now);
+            engine.resume();
+            isRecordDue = true;
+          }
+          context
+              .log()
+              .event(
+                  "order-unaccepted",
+                  "replica",
+                  engine.entry().id(),
+                  "status",
+                  outcome.status(),
+                  "detail",
+                  outcome.detail());
+        }
       }
+      change.callEnded(now);
     }
 
     private void finished(Replica engine, int version) {
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -100,9 +100,13 @@
     behaviour = next;
   }
 
-  /** Closes the connections of all further orders without carrying them out. */
-  public synchronized void ignoreOrders() {
-    isIgnoringOrders = true;
+  /**
+   * Changes how subsequent orders are handled.
+   *
+   * @param isIgnoring true to close their connections without carrying them out
+   */
+  public synchronized void ignoreOrders(boolean isIgnoring) {
+    isIgnoringOrders = isIgnoring;
   }
 
   /** Releases the requests and streams that are waiting. */
--- a/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.GatewaySite.Instance;
 import org.bulrushpier.rig.gateway.ReplicaFake;
@@ -20,7 +21,7 @@
   @BeforeEach
   void start() throws Exception {
     site = GatewaySite.start();
-    site.engines().forEach(ReplicaFake::ignoreOrders);
+    site.engines().forEach(engine -> engine.ignoreOrders(true));
   }
 
   @AfterEach
@@ -106,4 +107,15 @@
     assertThat(site.executed()).isEqualTo(executedBefore);
     assertThat(status).isEqualTo(503);
   }
+
+  @Test
+  void enginesThatLeaveOrdersUnansweredDoNotHoldUpOthers() throws Exception {
+    List<ReplicaFake> answering = site.engines().subList(3, site.engines().size());
+    answering.forEach(engine -> engine.ignoreOrders(false));
+    site.startInstances(1);
+
+    site.requestVersion(2);
+
+    GatewaySite.await(() -> answering.stream().allMatch(engine -> engine.orders().size() == 1));
+  }
 }
