A generation that has not started is recalled before its engine's weights are outdated for too long

Cause: whether an engine may still be used is decided once, from a predicted start. A request that waits in the engine's queue for longer than predicted was left there.

Evidence: OutdatedWeightsIntegrationTest.generationThatHasNotStartedIsRecalledBeforeItsEngineIsOutdatedForTooLong: engines that do not answer; the request stayed at its engine until its deadline (504 after 20 s).

Change: 150 ms before the end of the allowed time the request is cancelled at its engine, and sent to another one or answered. Such a request may have run, so it is sent again only where that is allowed.

Measured: the test failed before and passes; GatewayIntegrationTest passes.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -286,6 +286,8 @@
     }
     if (nowMillis >= deadlineMillis) {
       timedOut();
+    } else if (attempt != null && attempt.isExpired()) {
+      attempt.recall();
     } else if (attempt != null && isAttemptSilent(nowMillis) && tryAcquireRetry()) {
       Attempt silent = attempt;
       silent.abandon();
@@ -522,6 +524,37 @@
       context.upstreamPool().send(replica.entry().address(), outbound, maxIdle);
     }
 
+    /** Returns whether the request waits at an engine whose weights must no longer be used. */
+    private boolean isExpired() {
+      if (inFlight.isStarted() || request.prompt().isEmpty()) {
+        return false;
+      }
+      String model = request.prompt().get().model();
+      return weightVersion < context.weights().target(model).version()
+          && weightPreference(model).isExpired(weightVersion);
+    }
+
+    /** Cancels the request at its engine and sends it to another one if that is allowed. */
+    private void recall() {
+      context
+          .log()
+          .event(
+              "recalled",
+              "request",
+              request.id(),
+              "replica",
+              replica.entry().id(),
+              "weights",
+              weightVersion,
+              "outdatedMs",
+              outdatedMillis(),
+              "waitedMs",
+              MonotonicClock.millis() - inFlight.sentMillis());
+      triedReplicas.add(replica.entry().id());
+      cancel("outdated weights");
+      retryOrGiveUp("its engine's weights were replaced before it started");
+    }
+
     /** Returns whether the engine would start the request before its weights are excluded. */
     private boolean isVersionAllowed() {
       return request
--- a/library/src/main/java/org/bulrushpier/rollout/WeightPreference.java
+++ b/library/src/main/java/org/bulrushpier/rollout/WeightPreference.java
@@ -31,6 +31,12 @@
   /** How long before the end of the allowed time outdated weights are excluded, in milliseconds. */
   private static final long MARGIN_MILLIS = 700;
 
+  /**
+   * How long before the end of the allowed time a generation that has not started on outdated
+   * weights is cancelled, in milliseconds: the way of the cancellation to the engine.
+   */
+  private static final long RECALL_MARGIN_MILLIS = 150;
+
   private final TargetWeights.TargetVersion target;
   private final Moment now;
   private final long limitMillis;
@@ -65,6 +71,16 @@
     return served >= target.version() || outdatedMillis(served) + 2 * expectedMillis < limitMillis;
   }
 
+  /**
+   * Checks whether a generation that waits at an engine must no longer start there.
+   *
+   * @param served the version that the engine serves
+   * @return true shortly before the end of the time allowed for a change
+   */
+  public boolean isExpired(int served) {
+    return outdatedMillis(served) >= limitMillis + MARGIN_MILLIS - RECALL_MARGIN_MILLIS;
+  }
+
   /**
    * Returns the cost of using an engine with a given version.
    *
--- a/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
@@ -118,4 +118,18 @@
 
     GatewaySite.await(() -> answering.stream().allMatch(engine -> engine.orders().size() == 1));
   }
+
+  @Test
+  void generationThatHasNotStartedIsRecalledBeforeItsEngineIsOutdatedForTooLong() throws Exception {
+    Instance instance = site.startInstances(1).get(0);
+    site.engines().forEach(engine -> engine.setBehaviour(ReplicaFake.Behaviour.SILENT));
+    site.requestVersion(2);
+    GatewaySite.await(() -> instance.metric("bulrushpier_weights_outdated_engines") > 0);
+    long start = MonotonicClock.millis();
+
+    assertThat(instance.generate()).isEqualTo(502);
+
+    assertThat(site.executed()).isEqualTo(1);
+    assertThat(MonotonicClock.millis() - start).isLessThan(GatewaySite.CHANGE_MILLIS + 100);
+  }
 }
