Tests of the gateway take ports that no outgoing connection takes

Seen once: GatewayIntegrationTest.everyEngineIsOrderedOnceToLoadNewWeights failed with 'Address already in use' beside other processes that open many connections.

Cause: the tests let the system choose a port, close it and bind it later; the system gives the same ports to outgoing connections in between.

Change: ports from below that range (FreePorts).

--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -6,7 +6,6 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -97,9 +96,9 @@
         order-lease-ms = 300
         """
             .formatted(
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
+                FreePorts.next("127.0.0.1"),
+                FreePorts.next("127.0.0.1"),
+                FreePorts.next("127.0.0.1"),
                 metadataStore.address(),
                 revocationMillis);
     List<Finding> findings = new ArrayList<>();
@@ -118,12 +117,6 @@
     metadataStore.close();
   }
 
-  private static Address freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new Address("127.0.0.1", socket.getLocalPort());
-    }
-  }
-
   private void putConfiguration(int version, String keys) throws IOException {
     metadataStore.put("config", "main", CONFIGURATION.formatted(version, keys));
   }
@@ -327,7 +320,7 @@
   /** Datagrams that are no messages are ignored, whoever sends them. */
   @Test
   void instancesFindEachOtherAndExchangeTheirLoad() throws Exception {
-    int port = freeAddress().port();
+    int port = FreePorts.next("127.0.0.1").port();
     Gateway first = Gateway.start(fleetSettings("127.0.0.1", port));
     Gateway second = Gateway.start(fleetSettings("127.0.0.2", port));
     try (DatagramSocket socket = new DatagramSocket()) {
@@ -344,13 +337,13 @@
   }
 
   private GatewaySettings fleetSettings(String host, int port) throws IOException {
-    Address metrics = new Address(host, freeAddress().port());
+    Address metrics = new Address(host, FreePorts.next("127.0.0.1").port());
     metricsAddresses.put(host, metrics);
     return new GatewaySettings(
         "entry-" + host,
         "norte",
-        freeAddress(),
-        freeAddress(),
+        FreePorts.next("127.0.0.1"),
+        FreePorts.next("127.0.0.1"),
         metrics,
         settings.platformAddress(),
         Optional.of(new Address(host, port)),
--- a/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -1,7 +1,6 @@
 package org.bulrushpier.rig;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -10,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
-import org.bulrushpier.Address;
 import org.bulrushpier.Finding;
 import org.bulrushpier.daemon.serve.Gateway;
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
@@ -151,7 +149,7 @@
    * seed.
    */
   List<Instance> startInstances(int count) throws Exception {
-    int port = freeAddress("127.0.0.1").port();
+    int port = FreePorts.next("127.0.0.1").port();
     for (int i = 1; i <= count; i++) {
       instances.add(new Instance(settings("127.0.0." + i, port)));
     }
@@ -179,9 +177,9 @@
         """
             .formatted(
                 host,
-                freeAddress(host),
-                freeAddress(host),
-                freeAddress(host),
+                FreePorts.next(host),
+                FreePorts.next(host),
+                FreePorts.next(host),
                 metadataStore.address(),
                 host,
                 fleetPort,
@@ -195,12 +193,6 @@
     return settings;
   }
 
-  private static Address freeAddress(String host) throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new Address(host, socket.getLocalPort());
-    }
-  }
-
   private int status(String uri) {
     return status(HttpRequest.newBuilder(URI.create(uri)));
   }
