Ages of requested versions stay right when clocks step, and when versions arrive in another order

Change: waits are measured by the monotonic clock; the least age by the clock that shows less; contradicting intervals count as the earlier; numbers of questions start at random; all versions that matter are asked for; implausible ages are dropped one by one.

Measured: the new cases of WeightInquiryTest and StoreWatchTest pass, the others still do.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -152,7 +152,9 @@
 
   private void askForWeights(long nowMillis) {
     Optional<FleetMessage.WeightQuestion> question =
-        context.weightInquiry().nextQuestion(Moment.now());
+        context
+            .weightInquiry()
+            .nextQuestion(Moment.now(), context.settings().weightsChangeMillis());
     if (question.isPresent()) {
       List<Address> contacts = new ArrayList<>(membership.contacts(nowMillis));
       Collections.shuffle(contacts);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
@@ -43,7 +44,8 @@
   private final KnownConfiguration configuration = new KnownConfiguration();
   private final ReplicaTable replicas = new ReplicaTable();
   private final TargetWeights weights = new TargetWeights();
-  private final WeightInquiry weightInquiry = WeightInquiry.of(weights);
+  private final WeightInquiry weightInquiry =
+      WeightInquiry.of(weights, ThreadLocalRandom.current().nextLong());
   private final ReplicaClock replicaClock = new ReplicaClock();
   private final PrefillRate prefillRate = new PrefillRate();
   private final PeerLoads peerLoads = new PeerLoads();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -32,7 +32,8 @@
      *
      * @param values the objects
      * @param sent when the call was sent that read them
-     * @param changedAfter a moment after which all unknown changes were made, or the distant past
+     * @param changedAfter a moment after which all changes were made that had not been delivered,
+     *     or the distant past
      */
     void listed(List<StoreObject> values, Moment sent, Moment changedAfter);
 
@@ -186,7 +187,7 @@
       succeeded();
       listener.changed(events.events(), outcome.sent(), currentAt);
       boolean isEmpty = events.events().isEmpty();
-      currentAt = currentAt(isEmpty, waitMillis, outcome.sent(), Moment.now());
+      currentAt = provenAt(isEmpty, waitMillis, outcome.sent(), Moment.now());
       isProbing = !isEmpty && timing.isChangeConfirmed();
       if (isEmpty) {
         next();
@@ -208,8 +209,9 @@
    * @param received when its response was received
    * @return the end of a wait that passed without a change, otherwise the moment of sending
    */
-  static Moment currentAt(boolean isEmpty, long waitMillis, Moment sent, Moment received) {
-    boolean isWholeWait = isEmpty && sent.ageMillis(received) >= waitMillis;
+  static Moment provenAt(boolean isEmpty, long waitMillis, Moment sent, Moment received) {
+    long waitedMillis = received.monotonicMillis() - sent.monotonicMillis();
+    boolean isWholeWait = isEmpty && waitedMillis >= waitMillis;
     return isWholeWait ? sent.plusMillis(waitMillis) : sent;
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
@@ -1,12 +1,15 @@
 package org.bulrushpier.daemon.serve;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.bulrushpier.Moment;
 import org.bulrushpier.adapter.SiteFormat;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.rollout.RequestInterval;
+import org.bulrushpier.rollout.TargetWeights;
 
 /**
  * Watches the weight versions that operators request in the platform's metadata store.
@@ -17,6 +20,9 @@
 
   private final GatewayContext context;
 
+  /** The newest version of each model that the store has returned. */
+  private final Map<String, Integer> newest = new HashMap<>();
+
   private boolean isUnavailable;
 
   WeightsWatcher(GatewayContext context) {
@@ -41,7 +47,11 @@
     try {
       SiteFormat.RequestedWeights requested = SiteFormat.weights(value.content());
       RequestInterval interval = new RequestInterval(notBefore, Moment.now());
-      if (context.weights().update(requested.model(), requested.version(), interval)) {
+      if (isNew(requested)) {
+        TargetWeights weights = context.weights();
+        if (!weights.update(requested.model(), requested.version(), interval)) {
+          weights.refine(requested.model(), requested.version(), interval, interval.notAfter());
+        }
         context
             .log()
             .event(
@@ -60,6 +70,12 @@
     }
   }
 
+  private boolean isNew(SiteFormat.RequestedWeights requested) {
+    int before = newest.getOrDefault(requested.model(), 0);
+    newest.merge(requested.model(), requested.version(), Math::max);
+    return requested.version() > before;
+  }
+
   private void logRecovery(Moment lastCurrent) {
     if (isUnavailable) {
       isUnavailable = false;
--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
@@ -13,13 +13,19 @@
 
   @Test
   void emptyWatchProvesTheStateUntilTheEndOfItsWait() {
-    assertThat(StoreWatch.currentAt(true, 3_000, at(1_000), at(4_005))).isEqualTo(at(4_000));
-    assertThat(StoreWatch.currentAt(true, 0, at(1_000), at(1_005))).isEqualTo(at(1_000));
+    assertThat(StoreWatch.provenAt(true, 3_000, at(1_000), at(4_005))).isEqualTo(at(4_000));
+    assertThat(StoreWatch.provenAt(true, 0, at(1_000), at(1_005))).isEqualTo(at(1_000));
   }
 
   @Test
   void watchThatWasCutOffOrReturnedChangesProvesTheStateOnlyWhenItWasSent() {
-    assertThat(StoreWatch.currentAt(true, 3_000, at(1_000), at(2_500))).isEqualTo(at(1_000));
-    assertThat(StoreWatch.currentAt(false, 3_000, at(1_000), at(4_200))).isEqualTo(at(1_000));
+    assertThat(StoreWatch.provenAt(true, 3_000, at(1_000), at(2_500))).isEqualTo(at(1_000));
+    assertThat(StoreWatch.provenAt(false, 3_000, at(1_000), at(4_200))).isEqualTo(at(1_000));
+  }
+
+  @Test
+  void stepOfTheTimeOfDayDoesNotMakeAnEarlyAnswerWhole() {
+    Moment received = new Moment(1_200, 6_200);
+    assertThat(StoreWatch.provenAt(true, 3_000, at(1_000), received)).isEqualTo(at(1_000));
   }
 }
--- a/library/src/main/java/org/bulrushpier/Moment.java
+++ b/library/src/main/java/org/bulrushpier/Moment.java
@@ -39,6 +39,19 @@
     return Math.max(0, Math.max(monotonicElapsed, wallElapsed));
   }
 
+  /**
+   * Returns the time that has certainly elapsed from this moment to a later one, even if the wall
+   * clock has stepped forward in between.
+   *
+   * @param now the later moment
+   * @return the smaller difference of the two clocks in milliseconds, at least 0
+   */
+  public long minAgeMillis(Moment now) {
+    long monotonicElapsed = now.monotonicMillis - monotonicMillis;
+    long wallElapsed = now.wallMillis - wallMillis;
+    return Math.max(0, Math.min(monotonicElapsed, wallElapsed));
+  }
+
   /**
    * Returns this moment plus a duration.
    *
--- a/library/src/main/java/org/bulrushpier/rollout/RequestInterval.java
+++ b/library/src/main/java/org/bulrushpier/rollout/RequestInterval.java
@@ -41,16 +41,22 @@
   }
 
   /**
-   * Combines what two instances know about the same request.
+   * Combines what two instances know about the same request. If they contradict each other, because
+   * a clock has stepped, the earlier moment counts.
    *
    * @param other the other interval
    * @param now the current moment
    * @return the later of the first moments, and the earlier of the last moments
    */
   public RequestInterval intersect(RequestInterval other, Moment now) {
-    return new RequestInterval(
-        notBefore.ageMillis(now) <= other.notBefore.ageMillis(now) ? notBefore : other.notBefore,
-        notAfter.ageMillis(now) >= other.notAfter.ageMillis(now) ? notAfter : other.notAfter);
+    Moment first =
+        earlier(notBefore, other.notBefore, now) == notBefore ? other.notBefore : notBefore;
+    Moment last = earlier(notAfter, other.notAfter, now);
+    return new RequestInterval(earlier(first, last, now), last);
+  }
+
+  private static Moment earlier(Moment a, Moment b, Moment now) {
+    return a.ageMillis(now) >= b.ageMillis(now) ? a : b;
   }
 
   /** Returns whether the first moment is known. */
--- a/library/src/test/java/org/bulrushpier/rollout/WeightInquiryTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/WeightInquiryTest.java
@@ -15,8 +15,8 @@
 
   private final TargetWeights watched = new TargetWeights();
   private final TargetWeights restarted = new TargetWeights();
-  private final WeightInquiry watching = WeightInquiry.of(watched);
-  private final WeightInquiry asking = WeightInquiry.of(restarted);
+  private final WeightInquiry watching = WeightInquiry.of(watched, 0);
+  private final WeightInquiry asking = WeightInquiry.of(restarted, 40);
 
   private static Moment at(long millis) {
     return new Moment(millis, millis);
@@ -31,7 +31,8 @@
   }
 
   private void ask(long askedMillis, long answeredMillis, long receivedMillis) {
-    FleetMessage.WeightQuestion question = asking.nextQuestion(at(askedMillis)).orElseThrow();
+    FleetMessage.WeightQuestion question =
+        asking.nextQuestion(at(askedMillis), CHANGE_MILLIS).orElseThrow();
     asking.apply(watching.answer(question, at(answeredMillis)), at(receivedMillis));
   }
 
@@ -46,7 +47,7 @@
 
     assertThat(allows(restarted, 1, 27_530)).isFalse();
     assertThat(allows(restarted, 2, 27_530)).isTrue();
-    assertThat(asking.nextQuestion(at(28_000))).isEmpty();
+    assertThat(asking.nextQuestion(at(28_000), CHANGE_MILLIS)).isEmpty();
   }
 
   @Test
@@ -96,16 +97,17 @@
   void questionsAreRepeatedAtIntervalsAndEndAfterAWhile() {
     restarted.update("m", 2, RequestInterval.before(at(1_000)));
 
-    assertThat(asking.nextQuestion(at(1_000))).isPresent();
-    assertThat(asking.nextQuestion(at(1_050))).isEmpty();
-    assertThat(asking.nextQuestion(at(1_100))).isPresent();
-    assertThat(asking.nextQuestion(at(4_100))).isEmpty();
+    assertThat(asking.nextQuestion(at(1_000), CHANGE_MILLIS)).isPresent();
+    assertThat(asking.nextQuestion(at(1_050), CHANGE_MILLIS)).isEmpty();
+    assertThat(asking.nextQuestion(at(1_100), CHANGE_MILLIS)).isPresent();
+    assertThat(asking.nextQuestion(at(4_100), CHANGE_MILLIS)).isEmpty();
   }
 
   @Test
   void answersToNoRecentQuestionAndImplausibleOnesAreIgnored() {
     restarted.update("m", 2, RequestInterval.before(at(1_000)));
-    final Optional<FleetMessage.WeightQuestion> question = asking.nextQuestion(at(1_000));
+    final Optional<FleetMessage.WeightQuestion> question =
+        asking.nextQuestion(at(1_000), CHANGE_MILLIS);
     WeightAge age = new WeightAge("m", 2, 500, 400);
 
     assertThat(asking.apply(new FleetMessage.WeightAnswer(77, List.of(age)), at(1_010))).isEmpty();
@@ -117,4 +119,33 @@
         .isEmpty();
     assertThat(restarted.target("m").requested()).isEqualTo(RequestInterval.before(at(1_000)));
   }
+
+  @Test
+  void versionBetweenIsAskedForAlthoughTheNewestIsKnown() {
+    watched.update("m", 2, between(20_000, 20_100));
+    watched.update("m", 3, between(28_000, 28_100));
+    restarted.update("m", 2, RequestInterval.before(at(27_500)));
+    restarted.update("m", 3, between(27_900, 28_050));
+
+    ask(28_100, 28_110, 28_120);
+
+    assertThat(allows(restarted, 1, 28_130)).isFalse();
+    assertThat(allows(restarted, 2, 34_500)).isTrue();
+  }
+
+  /** The time of day of the answering instance steps forward by 5 s after the request. */
+  @Test
+  void clockStepOfOneInstanceDoesNotMakeAnswersUseless() {
+    watched.update("m", 2, between(20_000, 20_100));
+    restarted.update("m", 2, RequestInterval.before(at(21_000)));
+    FleetMessage.WeightQuestion question =
+        asking.nextQuestion(at(21_000), CHANGE_MILLIS).orElseThrow();
+
+    asking.apply(watching.answer(question, new Moment(21_010, 26_010)), at(21_020));
+    assertThat(allows(restarted, 1, 21_030)).isTrue();
+    watched.refine("m", 2, restarted.target("m").requested(), at(21_030));
+
+    FleetMessage.WeightAnswer answer = watching.answer(question, at(21_040));
+    assertThat(answer.ages()).allMatch(WeightAge::isPlausible);
+  }
 }
