Orders that are refused or without effect hold up no other engine, and repetitions are bounded

Change: an order that is refused, or accepted without effect, is treated like an unanswered one; repetitions keep to the limit on concurrent changes and become rare after ten; an engine that refuses an order because of another one is left alone for 300 ms; orders are dropped if the lease no longer permits them when they would be sent. A lease record with a newer version proves that it was requested.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.daemon.serve;
 
 import java.nio.ByteBuffer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.bulrushpier.Address;
 import org.bulrushpier.Moment;
@@ -71,16 +72,21 @@
     send(address, "GET", target, fields, new byte[0], timeoutMillis, consumer);
   }
 
-  /** Sends an order that only the expected replica accepts; the consumer is called once. */
+  /**
+   * Sends an order that only the expected replica accepts; the consumer is called once. The order
+   * fails if it is obsolete when a connection for it has been opened.
+   */
   void order(
       Address address,
       String replica,
       String target,
       byte[] body,
       long timeoutMillis,
+      BooleanSupplier isObsolete,
       Consumer<Outcome> consumer) {
     HttpFields fields = EngineFormat.fields(address.toString(), replica, body.length);
-    send(address, "POST", target, fields, body, timeoutMillis, consumer);
+    Call call = new Call(isObsolete, consumer);
+    send(address, OutboundRequest.of("POST", target, fields, body, call), call, timeoutMillis);
   }
 
   private void send(
@@ -91,8 +97,11 @@
       byte[] body,
       long timeoutMillis,
       Consumer<Outcome> consumer) {
-    Call call = new Call(consumer);
-    OutboundRequest outbound = OutboundRequest.of(method, target, fields, body, call);
+    Call call = new Call(() -> false, consumer);
+    send(address, OutboundRequest.of(method, target, fields, body, call), call, timeoutMillis);
+  }
+
+  private void send(Address address, OutboundRequest outbound, Call call, long timeoutMillis) {
     call.outbound = outbound;
     call.timer =
         loop.after(
@@ -108,6 +117,7 @@
 
   /** A call in progress. */
   private static final class Call implements OutboundRequest.Listener {
+    private final BooleanSupplier isObsolete;
     private final Consumer<Outcome> consumer;
     private final Moment sent = Moment.now();
     private final BoundedBuffer body = BoundedBuffer.of(MAX_BODY_BYTES);
@@ -116,10 +126,16 @@
     private int status;
     private boolean isDone;
 
-    Call(Consumer<Outcome> consumer) {
+    Call(BooleanSupplier isObsolete, Consumer<Outcome> consumer) {
+      this.isObsolete = isObsolete;
       this.consumer = consumer;
     }
 
+    @Override
+    public boolean isObsolete() {
+      return isObsolete.getAsBoolean();
+    }
+
     @Override
     public void started(ResponseHead head) {
       status = head.status();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -563,7 +563,7 @@
               prompt ->
                   weightPreference(prompt.model())
                       .allows(weightVersion, placement.expectedMillis()))
-          .orElse(true);
+          .orElseGet(() -> isEveryVersionAllowed(replica));
     }
 
     /** Returns how long the weights that the request was sent for have been outdated, in ms. */
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -21,6 +21,7 @@
 import org.bulrushpier.rollout.EngineChange;
 import org.bulrushpier.rollout.LeaseRecord;
 import org.bulrushpier.rollout.OrderLease;
+import org.bulrushpier.rollout.RequestInterval;
 import org.bulrushpier.rollout.RolloutPlan;
 import org.bulrushpier.rollout.TargetWeights;
 
@@ -217,6 +218,10 @@
       if (!isOtherHolder) {
         return;
       }
+      if (record.version() > context.weights().target(model).version()) {
+        Moment seen = Moment.now();
+        context.weights().refine(model, record.version(), RequestInterval.before(seen), seen);
+      }
       long now = MonotonicClock.millis();
       for (String id : record.changed()) {
         Replica engine = context.replicas().find(id);
@@ -390,30 +395,45 @@
       }
     }
 
-    /** Returns the ids of the engines that are changing, without those that leave orders open. */
+    /** Returns the ids of the engines that are changing or may begin to at any time. */
     private Set<String> activeChanges() {
       Set<String> active = new LinkedHashSet<>();
       changing.forEach(
           (id, change) -> {
-            if (!change.isUnanswered()) {
+            if (change.isActive()) {
               active.add(id);
             }
           });
       return active;
     }
 
+    /**
+     * Applies a response to the progress of an engine. The engine gets requests while its order is
+     * unanswered.
+     */
+    private void update(Replica engine, EngineChange change, Runnable response) {
+      boolean wasUnanswered = change.isUnanswered();
+      response.run();
+      if (changing.get(engine.entry().id()) != change || change.isUnanswered() == wasUnanswered) {
+        return;
+      }
+      isRecordDue = true;
+      if (wasUnanswered) {
+        engine.pause(MonotonicClock.millis() + CHANGE_PAUSE_MILLIS);
+      } else {
+        engine.resume();
+      }
+    }
+
     private void selectEngines(TargetWeights.TargetVersion target, List<Replica> engines) {
       long now = MonotonicClock.millis();
-      Set<String> active = activeChanges();
       List<Replica> eligible =
           engines.stream()
               .filter(engine -> now >= skipUntilMillis.getOrDefault(engine.entry().id(), 0L))
-              .filter(
-                  engine ->
-                      active.contains(engine.entry().id())
-                          || !changing.containsKey(engine.entry().id()))
               .toList();
-      for (Replica engine : RolloutPlan.next(model, target.version(), eligible, active)) {
+      int active = activeChanges().size();
+      for (Replica engine :
+          RolloutPlan.next(model, target.version(), eligible, changing.keySet(), active)) {
         changing.put(engine.entry().id(), EngineChange.start(now));
         engine.pause(now + CHANGE_PAUSE_MILLIS);
         isRecordDue = true;
@@ -446,7 +466,7 @@
     }
 
     private void requestReport(Replica engine, EngineChange change, int version) {
-      change.callSent();
+      change.reportRequested();
       context
           .client()
           .call(
@@ -467,15 +487,14 @@
       try {
         EngineFormat.Report report = EngineFormat.report(outcome.body());
         long now = MonotonicClock.millis();
-        if (change.reported(report.isChanging(), now)) {
-          engine.pause(now + CHANGE_PAUSE_MILLIS);
-          isRecordDue = true;
-        }
+        update(engine, change, () -> change.reported(report.isChanging(), now));
         int servedVersion = report.weightVersions().getOrDefault(model, 0);
         if (servedVersion >= version && !report.isChanging()) {
           finished(engine, servedVersion);
         } else if (!report.isChanging()
+            && changing.get(engine.entry().id()) == change
             && change.isOrderDue(report.running(), report.waiting(), now)
+            && (change.isActive() || hasRoom())
             && lease.mayOrder(Moment.now())) {
           sendOrder(engine, change, version, report.acceptedOrders());
         }
@@ -486,10 +505,14 @@
       }
     }
 
+    private boolean hasRoom() {
+      return activeChanges().size() < RolloutPlan.maxConcurrentChanges(engines().size());
+    }
+
     private void sendOrder(Replica engine, EngineChange change, int version, long acceptedOrders) {
       String id = engine.entry().id();
       long fence = lease.fence();
-      change.callSent();
+      change.orderSent();
       byte[] body =
           EngineFormat.changeWeights(
               model, version, context.settings().name(), fence, acceptedOrders);
@@ -504,6 +527,7 @@
               EngineFormat.ORDER,
               body,
               ORDER_TIMEOUT_MILLIS,
+              () -> !lease.mayOrder(Moment.now()),
               outcome -> orderAnswered(engine, change, version, outcome));
     }
 
@@ -512,13 +536,10 @@
       long now = MonotonicClock.millis();
       switch (outcome.status()) {
         case ALREADY_CHANGED -> finished(engine, version);
-        case ACCEPTED -> change.accepted(now);
+        case ACCEPTED -> update(engine, change, () -> change.accepted(now));
         default -> {
-          if (outcome.status() == ControlClient.NO_RESPONSE) {
-            change.unanswered(now);
-            engine.resume();
-            isRecordDue = true;
-          }
+          boolean isBusy = outcome.status() == CONFLICT;
+          update(engine, change, isBusy ? () -> change.busy(now) : () -> change.unanswered(now));
           context
               .log()
               .event(
--- a/library/src/main/java/org/bulrushpier/rollout/EngineChange.java
+++ b/library/src/main/java/org/bulrushpier/rollout/EngineChange.java
@@ -7,7 +7,7 @@
  * <p>An order that gets no response may be carried out seconds later or not at all. Until a report
  * shows that the engine is changing, it serves requests as before, other engines are ordered, and
  * the order is repeated at intervals. A repetition that arrives after another one was accepted has
- * no effect.
+ * no effect. An order that is refused, or accepted without effect, counts as unanswered.
  *
  * <p>Not thread-safe; guarded by the lock of the gateway's event loop. All times are monotonic, in
  * milliseconds.
@@ -23,6 +23,14 @@
   /** Interval between repetitions of an unanswered order, in milliseconds. */
   private static final long REPEAT_INTERVAL_MILLIS = 1_000;
 
+  /** The same interval after many repetitions, in milliseconds. */
+  private static final long SLOW_REPEAT_INTERVAL_MILLIS = 5_000;
+
+  private static final int MAX_QUICK_REPETITIONS = 10;
+
+  /** How long an engine that carries out another order is not ordered again, in milliseconds. */
+  private static final long BUSY_PAUSE_MILLIS = 300;
+
   /** How long after an accepted order a report may show the state before it, in milliseconds. */
   private static final long REPORT_LAG_MILLIS = 800;
 
@@ -36,7 +44,10 @@
   private long nextReportMillis = NEVER;
   private long acceptedMillis = NEVER;
   private long unansweredMillis = NEVER;
+  private long busyUntilMillis = NEVER;
+  private int unansweredOrders;
   private boolean isCallPending;
+  private boolean isOrderPending;
   private boolean isUnanswered;
 
   private EngineChange(long nowMillis) {
@@ -54,9 +65,15 @@
     return new EngineChange(nowMillis);
   }
 
-  /** Records that a call to the engine was sent. */
-  public void callSent() {
+  /** Records that a report was requested. */
+  public void reportRequested() {
+    isCallPending = true;
+  }
+
+  /** Records that an order was sent. */
+  public void orderSent() {
     isCallPending = true;
+    isOrderPending = true;
   }
 
   /**
@@ -66,6 +83,7 @@
    */
   public void callEnded(long nowMillis) {
     isCallPending = false;
+    isOrderPending = false;
     nextReportMillis =
         nowMillis + (isUnanswered ? UNANSWERED_REPORT_INTERVAL_MILLIS : REPORT_INTERVAL_MILLIS);
   }
@@ -95,13 +113,15 @@
    *
    * @param isChanging whether the engine carries out an order
    * @param nowMillis the current time
-   * @return whether the engine has begun to carry out an order that was unanswered
    */
-  public boolean reported(boolean isChanging, long nowMillis) {
+  public void reported(boolean isChanging, long nowMillis) {
     reportedMillis = nowMillis;
-    boolean hasBegun = isChanging && isUnanswered;
-    isUnanswered &= !isChanging;
-    return hasBegun;
+    if (isChanging) {
+      isUnanswered = false;
+    } else if (acceptedMillis != NEVER && nowMillis - acceptedMillis > REPORT_LAG_MILLIS) {
+      acceptedMillis = NEVER;
+      unanswered(nowMillis);
+    }
   }
 
   /**
@@ -113,12 +133,21 @@
    * @return true if the engine is drained, or if an unanswered order should be repeated
    */
   public boolean isOrderDue(int running, int waiting, long nowMillis) {
+    if (nowMillis < busyUntilMillis) {
+      return false;
+    }
     return isUnanswered
-        ? nowMillis - unansweredMillis >= REPEAT_INTERVAL_MILLIS
-        : nowMillis - acceptedMillis > REPORT_LAG_MILLIS
+        ? nowMillis - unansweredMillis >= repeatIntervalMillis()
+        : acceptedMillis == NEVER
             && RolloutPlan.isDrained(nowMillis - sinceMillis, running, waiting);
   }
 
+  private long repeatIntervalMillis() {
+    return unansweredOrders <= MAX_QUICK_REPETITIONS
+        ? REPEAT_INTERVAL_MILLIS
+        : SLOW_REPEAT_INTERVAL_MILLIS;
+  }
+
   /**
    * Records that the engine accepted an order.
    *
@@ -130,17 +159,32 @@
   }
 
   /**
-   * Records that an order got no response.
+   * Records that an order got no response, or one that refused it.
    *
    * @param nowMillis the current time
    */
   public void unanswered(long nowMillis) {
     unansweredMillis = nowMillis;
+    unansweredOrders++;
     isUnanswered = true;
   }
 
-  /** Returns whether the last order got no response and the engine has not begun to change. */
+  /**
+   * Records that the engine refused an order because it accepted another one before.
+   *
+   * @param nowMillis the current time
+   */
+  public void busy(long nowMillis) {
+    busyUntilMillis = nowMillis + BUSY_PAUSE_MILLIS;
+  }
+
+  /** Returns whether the last order was not accepted and the engine has not begun to change. */
   public boolean isUnanswered() {
     return isUnanswered;
   }
+
+  /** Returns whether the engine may begin to change at any time because of the last order. */
+  public boolean isActive() {
+    return !isUnanswered || isOrderPending;
+  }
 }
--- a/library/src/main/java/org/bulrushpier/rollout/RolloutPlan.java
+++ b/library/src/main/java/org/bulrushpier/rollout/RolloutPlan.java
@@ -60,11 +60,12 @@
    * @param model the name of the model
    * @param version the target version
    * @param engines the model's engines that are not leaving
-   * @param changing the ids of the engines that are changing now
+   * @param changing the ids of the engines that were selected before
+   * @param active how many of them are changing now
    * @return the engines, those with the fewest requests first
    */
   public static List<Replica> next(
-      String model, int version, List<Replica> engines, Set<String> changing) {
+      String model, int version, List<Replica> engines, Set<String> changing, int active) {
     List<Replica> outdated = new ArrayList<>();
     for (Replica engine : engines) {
       if (engine.version(model) < version && !changing.contains(engine.entry().id())) {
@@ -73,9 +74,17 @@
     }
     outdated.sort(
         Comparator.comparingInt(engine -> engine.ownRequests() + engine.reportedLoad().running()));
-    int maxChanging =
-        Math.max(MIN_CONCURRENT_CHANGES, (int) Math.round(engines.size() * MAX_CHANGING_SHARE));
-    int room = Math.max(0, maxChanging - changing.size());
+    int room = Math.max(0, maxConcurrentChanges(engines.size()) - active);
     return outdated.subList(0, Math.min(room, outdated.size()));
   }
+
+  /**
+   * Returns how many engines of a model change at the same time.
+   *
+   * @param engines the number of the model's engines that are not leaving
+   * @return the number, at least a few
+   */
+  public static int maxConcurrentChanges(int engines) {
+    return Math.max(MIN_CONCURRENT_CHANGES, (int) Math.round(engines * MAX_CHANGING_SHARE));
+  }
 }
