Idle caller connections hold neither body nor header cache

Cause: the instances ran out of heap (96 MB), one after the other. A refused caller leaves its connection open and returns on a new one. Each such connection kept the buffer of its last body and, from its second request on, Jetty's header cache, a table of about 100 KB. After the OutOfMemoryError an instance still had its sockets open, but timeouts, queues and closed connections were no longer handled.

Change: the body's buffer is released with the request, and the parser of callers' requests caches no headers.

Measured: CallerConnectionTest.idleConnectionsHoldLittleMemory (300 idle connections after two requests of 40 kB) had 170,328 bytes a connection before and 2,909 after.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -21,7 +21,8 @@
  * buffers bytes of pipelined requests, and notifies the handler when the caller disconnects.
  *
  * <p>Invariants: at most one request is unanswered; a response that was cut short never looks
- * complete, because the connection is closed instead. Guarded by the loop's lock.
+ * complete, because the connection is closed instead; an idle connection holds no body and no
+ * header cache, as callers may leave thousands of them open. Guarded by the loop's lock.
  */
 public final class CallerConnection extends HttpConnection {
 
@@ -75,7 +76,7 @@
   private final Handler handler;
   private final HttpParser parser;
   private final CallerLimits limits;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+  private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private ByteBuffer pipelined;
   private HttpFields.Mutable fields = HttpFields.build();
   private String method;
@@ -95,6 +96,7 @@
     this.limits = handler.limits();
     this.parser =
         new HttpParser(new RequestParserHandler(), limits.headerBytes(), HttpCompliance.RFC7230);
+    parser.setHeaderCacheSize(0);
   }
 
   @Override
@@ -271,7 +273,6 @@
   private void awaitRequest() {
     isResponseStarted = false;
     fields = HttpFields.build();
-    body.reset();
     startTimer(limits.idleTimeoutMillis());
   }
 
@@ -357,6 +358,7 @@
       stopTimer();
       isResponding = true;
       InboundRequest request = new InboundRequest(method, target, fields, body.toByteArray());
+      body = new ByteArrayOutputStream(0);
       handler.requestReceived(CallerConnection.this, request);
       return true;
     }
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -20,6 +22,10 @@
 class CallerConnectionTest {
 
   private static final int TIMEOUT_SECONDS = 30;
+  private static final int IDLE_CONNECTIONS = 300;
+  private static final int REQUESTS_PER_CONNECTION = 2;
+  private static final int LARGE_BODY_BYTES = 40_000;
+  private static final long MAX_IDLE_CONNECTION_BYTES = 16 * 1_024;
 
   private final EventLoop loop = EventLoop.start();
   private final BlockingQueue<CallerConnection> connections = new LinkedBlockingQueue<>();
@@ -49,9 +55,7 @@
 
   @BeforeEach
   void listen() throws IOException {
-    try (ServerSocket free = new ServerSocket(0)) {
-      address = new Address("127.0.0.1", free.getLocalPort());
-    }
+    address = freeAddress();
     listener = loop.listen(address, new RecordingHandler());
   }
 
@@ -61,6 +65,12 @@
     loop.stop();
   }
 
+  private static Address freeAddress() throws IOException {
+    try (ServerSocket free = new ServerSocket(0)) {
+      return new Address("127.0.0.1", free.getLocalPort());
+    }
+  }
+
   private Socket connect() throws IOException {
     Socket socket = new Socket(address.host(), address.port());
     socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
@@ -181,4 +191,54 @@
       assertThat(new String(socket.getInputStream().readAllBytes())).isEqualTo("bye");
     }
   }
+
+  /** Callers who were refused leave their connections open and return on new ones. */
+  @Test
+  void idleConnectionsHoldLittleMemory() throws Exception {
+    Address refusing = freeAddress();
+    List<Socket> sockets = new ArrayList<>();
+    try (Closeable refusingListener = loop.listen(refusing, new RefusingHandler())) {
+      refuseLargeRequests(refusing).close();
+      long before = usedHeapBytes();
+      for (int i = 0; i < IDLE_CONNECTIONS; i++) {
+        sockets.add(refuseLargeRequests(refusing));
+      }
+
+      assertThat((usedHeapBytes() - before) / IDLE_CONNECTIONS)
+          .isLessThan(MAX_IDLE_CONNECTION_BYTES);
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+
+  /** Refuses every request without closing the connection. */
+  private static final class RefusingHandler implements CallerConnection.Handler {
+    @Override
+    public void requestReceived(CallerConnection connection, InboundRequest request) {
+      connection.respond(503, HttpFields.EMPTY, new byte[0]);
+    }
+  }
+
+  private static Socket refuseLargeRequests(Address refusing) throws IOException {
+    Socket socket = new Socket(refusing.host(), refusing.port());
+    socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
+    for (int i = 0; i < REQUESTS_PER_CONNECTION; i++) {
+      RawServer.write(
+          socket,
+          "POST /a HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\nContent-Length: "
+              + LARGE_BODY_BYTES
+              + "\r\n\r\n"
+              + "y".repeat(LARGE_BODY_BYTES));
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 503");
+    }
+    return socket;
+  }
+
+  private static long usedHeapBytes() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
 }
