A failure in the gateway's periodic work no longer ends it

Cause: Gateway.tick scheduled its next run as its last statement. After an OutOfMemoryError in the middle of a send, the timeout of that request failed (a NullPointerException in Attempt.cancel, logged at 19.29 s), and with it all timeouts, the queues of all services, load reports and rollouts ended for good.

Change: EventLoop.every repeats a task also after it has failed, and a request whose tick fails doesn't keep the others from theirs.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
@@ -33,7 +33,7 @@
   private ConnectionPool(EventLoop loop, long idleMillis) {
     this.loop = loop;
     this.idleMillis = idleMillis;
-    loop.after(SWEEP_MILLIS, this::sweep);
+    loop.every(SWEEP_MILLIS, this::sweep);
   }
 
   /**
@@ -72,7 +72,6 @@
     long now = MonotonicClock.millis();
     groups.values().forEach(group -> group.sweep(now));
     groups.values().removeIf(Group::isEmpty);
-    loop.after(SWEEP_MILLIS, this::sweep);
   }
 
   /** The connections to one address. */
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/EventLoop.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/EventLoop.java
@@ -130,6 +130,24 @@
     return scheduled::cancel;
   }
 
+  /**
+   * Runs a task again and again, also after it has failed.
+   *
+   * @param pauseMillis the pause between two runs, in milliseconds
+   * @param task the task, which runs with the loop's lock held; must not block
+   */
+  public void every(long pauseMillis, Runnable task) {
+    after(
+        pauseMillis,
+        () -> {
+          try {
+            task.run();
+          } finally {
+            every(pauseMillis, task);
+          }
+        });
+  }
+
   /**
    * Runs a task on the calling thread with the loop's lock held.
    *
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -143,7 +143,7 @@
     watch(StoreFormat.REPLICAS, REPLICA_TIMING, new ReplicaWatcher(context));
     watch(StoreFormat.WEIGHTS, WEIGHTS_TIMING, new WeightsWatcher(context));
     watch(StoreFormat.LEASES, LEASE_TIMING, rollouts);
-    tick();
+    loop.every(TICK_MILLIS, this::tick);
   }
 
   /**
@@ -187,7 +187,8 @@
   private void tick() {
     long now = MonotonicClock.millis();
     for (Exchange exchange : exchanges.toArray(new Exchange[0])) {
-      exchange.tick(now);
+      // A failure must not keep the other requests from their timeouts.
+      loop.run(() -> exchange.tick(now));
     }
     context.placementQueues().forEach((service, queue) -> placeWaiting(service, queue, now));
     exchanges.removeIf(Exchange::isDone);
@@ -204,7 +205,6 @@
     if (!isShuttingDown) {
       rollouts.tick();
     }
-    loop.after(TICK_MILLIS, this::tick);
   }
 
   /** Places waiting requests as far as engines can take them, and refuses those that expired. */
