Requests whose turn comes too late are refused at once

Cause: PlacementQueue added every request and let it expire. A queue that was empty for a moment, as engines become free in groups, also counted as new, and its requests then waited for their whole objective.

Change: in a standing queue, a request is refused without waiting if more requests of its priority are ahead than were placed, at the rate of the last second, in the wait that it is permitted. A queue that is empty for less than 100 ms goes on standing.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -152,10 +152,12 @@
 
   /** Selects an upstream, behind any waiting requests that are at least as urgent. */
   private void place() {
-    if (request.prompt().isPresent() && attempts == 0 && queue().isAhead(priority())) {
-      await(new Placement.Wait("other requests wait for an engine"));
-    } else {
+    if (request.prompt().isEmpty() || attempts > 0 || !queue().isAhead(priority())) {
       tryPlace();
+    } else if (queue().isFull(priority(), route.goalMillis(), MonotonicClock.millis())) {
+      refuseOverloaded("too many other requests wait for an engine");
+    } else {
+      await(new Placement.Wait("other requests wait for an engine"));
     }
   }
 
@@ -190,6 +192,10 @@
   void waitExpired() {
     String reason = wait.reason();
     wait = null;
+    refuseOverloaded(reason);
+  }
+
+  private void refuseOverloaded(String reason) {
     giveUp(
         reason,
         queue()
@@ -225,7 +231,10 @@
     }
     switch (placement) {
       case Placement.Send send -> {
-        leaveQueue();
+        if (wait != null) {
+          wait = null;
+          queue().placed(this, now);
+        }
         send(send, remaining);
       }
       case Placement.Wait busy -> await(busy);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -216,7 +216,7 @@
     }
     if (queue.isStanding(nowMillis) && overloaded.add(service)) {
       context.log().event("overload", "service", service, "waiting", queue.size());
-    } else if (queue.size() == 0 && overloaded.remove(service)) {
+    } else if (!queue.isStanding(nowMillis) && overloaded.remove(service)) {
       context.log().event("overload-ended", "service", service);
     }
   }
--- a/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
@@ -1,9 +1,12 @@
 package org.bulrushpier.placing;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
@@ -16,7 +19,8 @@
  * building up a queue in the engines, where waiting requests displace cached parts and each request
  * then needs more work than before. If the load does not fall, a queue only adds delay. Once the
  * queue has not been empty for {@value #STANDING_MILLIS} ms, the permitted wait therefore shrinks
- * (controlled delay), and requests that exceed it are refused.
+ * (controlled delay), and requests that exceed it are refused. A new request whose turn, at the
+ * rate of the last placements, comes after its permitted wait is not to be added.
  *
  * <p>Invariant: requests leave in order of priority and, within a priority, of arrival. Not
  * thread-safe; guarded by the lock of the gateway's event loop.
@@ -28,6 +32,9 @@
   /** How long a queue must have existed to be considered standing, in milliseconds. */
   static final long STANDING_MILLIS = 1_000;
 
+  /** How long a standing queue may be empty, in milliseconds, as placements come in groups. */
+  private static final long EMPTY_MILLIS = 100;
+
   /** The longest wait in a short-lived queue, as a multiple of the request's latency objective. */
   private static final double BURST_WAIT_FACTOR = 1.0;
 
@@ -44,8 +51,10 @@
       new TreeSet<>(
           Comparator.comparingInt((Entry<T> entry) -> entry.priority)
               .thenComparingLong(entry -> entry.sequence));
+  private final Map<Integer, ArrayDeque<Long>> placedMillis = new HashMap<>();
   private long nextSequence;
   private long nonEmptySinceMillis;
+  private long lastNonEmptyMillis = Long.MIN_VALUE / 2;
 
   /**
    * Checks whether a new request has to wait behind others.
@@ -57,6 +66,33 @@
     return !entries.isEmpty() && entries.first().priority <= priority;
   }
 
+  /**
+   * Checks whether a new request would wait in vain, as too many others of its priority have their
+   * turn before it in a standing queue. The effect of more urgent requests shows in the rate at
+   * which those of its priority were placed.
+   *
+   * @param priority the priority of the new request, 0 being the most urgent
+   * @param goalMillis its latency objective, in milliseconds
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return true if it is expected to exceed its permitted wait
+   */
+  public boolean isFull(int priority, long goalMillis, long nowMillis) {
+    long ahead = entries.stream().filter(entry -> entry.priority == priority).count();
+    if (ahead == 0 || !isStanding(nowMillis)) {
+      return false;
+    }
+    int placed = recentPlacements(priority, nowMillis).size();
+    return ahead > placed * STANDING_WAIT_FACTOR * goalMillis / STANDING_MILLIS;
+  }
+
+  private ArrayDeque<Long> recentPlacements(int priority, long nowMillis) {
+    ArrayDeque<Long> placed = placedMillis.computeIfAbsent(priority, p -> new ArrayDeque<>());
+    while (!placed.isEmpty() && nowMillis - placed.peekFirst() > STANDING_MILLIS) {
+      placed.removeFirst();
+    }
+    return placed;
+  }
+
   /**
    * Adds a request.
    *
@@ -66,14 +102,31 @@
    * @param nowMillis the current monotonic time, in milliseconds
    */
   public void add(T request, int priority, long goalMillis, long nowMillis) {
-    if (entries.isEmpty()) {
+    if (isEmptied(nowMillis)) {
       nonEmptySinceMillis = nowMillis;
     }
+    lastNonEmptyMillis = nowMillis;
     entries.add(new Entry<>(request, priority, nextSequence++, nowMillis, goalMillis));
   }
 
   /**
-   * Removes a request, which was placed or has ended.
+   * Removes a request that was placed.
+   *
+   * @param request the request
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void placed(T request, long nowMillis) {
+    lastNonEmptyMillis = nowMillis;
+    for (Entry<T> entry : entries) {
+      if (entry.request == request) {
+        recentPlacements(entry.priority, nowMillis).addLast(nowMillis);
+      }
+    }
+    remove(request);
+  }
+
+  /**
+   * Removes a request that has ended.
    *
    * @param request the request
    */
@@ -94,6 +147,9 @@
    */
   public List<T> removeExpired(long nowMillis) {
     double factor = isStanding(nowMillis) ? STANDING_WAIT_FACTOR : BURST_WAIT_FACTOR;
+    if (!entries.isEmpty()) {
+      lastNonEmptyMillis = nowMillis;
+    }
     List<T> expired = new ArrayList<>();
     for (Iterator<Entry<T>> it = entries.iterator(); it.hasNext(); ) {
       Entry<T> entry = it.next();
@@ -105,14 +161,18 @@
     return expired;
   }
 
+  private boolean isEmptied(long nowMillis) {
+    return entries.isEmpty() && nowMillis - lastNonEmptyMillis > EMPTY_MILLIS;
+  }
+
   /**
-   * Checks whether the queue has not been empty for some time.
+   * Checks whether the queue has not been empty for some time, except for moments.
    *
    * @param nowMillis the current monotonic time, in milliseconds
    * @return true if the load exceeds the capacity and not only for a moment
    */
   public boolean isStanding(long nowMillis) {
-    return !entries.isEmpty() && nowMillis - nonEmptySinceMillis > STANDING_MILLIS;
+    return !isEmptied(nowMillis) && nowMillis - nonEmptySinceMillis > STANDING_MILLIS;
   }
 
   /**
@@ -126,7 +186,7 @@
    * @return the delay in milliseconds
    */
   public long retryDelayMillis(long goalMillis, long nowMillis, RandomGenerator random) {
-    long standing = entries.isEmpty() ? 0 : nowMillis - nonEmptySinceMillis;
+    long standing = isEmptied(nowMillis) ? 0 : nowMillis - nonEmptySinceMillis;
     long delay = Math.clamp(standing, Math.min(goalMillis, MAX_RETRY_MILLIS), MAX_RETRY_MILLIS);
     return delay / 2 + random.nextLong(delay + 1);
   }
--- a/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
@@ -65,7 +65,7 @@
     private final PromptShape prompt;
     private final long arrivedMillis;
     private long firstTokenMillis = -1;
-    private boolean isRefused;
+    private long refusedMillis = -1;
 
     Call(int priority, PromptShape prompt) {
       this.priority = priority;
@@ -98,15 +98,17 @@
 
     void arrive(Call call) {
       calls.add(call);
-      if (queue.isAhead(call.priority) || !place(call)) {
+      if (queue.isAhead(call.priority) && queue.isFull(call.priority, GOAL_MILLIS, now)) {
+        call.refusedMillis = now;
+      } else if (queue.isAhead(call.priority) || !place(call)) {
         queue.add(call, call.priority, GOAL_MILLIS, now);
       }
     }
 
     void tick() {
-      queue.removeExpired(now).forEach(call -> call.isRefused = true);
+      queue.removeExpired(now).forEach(call -> call.refusedMillis = now);
       while (queue.head().isPresent() && place(queue.head().get())) {
-        queue.remove(queue.head().get());
+        queue.placed(queue.head().get(), now);
       }
     }
 
@@ -129,7 +131,7 @@
       if (placed instanceof Placement.Send send) {
         send(call, send);
       } else if (placed instanceof Placement.Refuse) {
-        call.isRefused = true;
+        call.refusedMillis = now;
       }
       return !(placed instanceof Placement.Wait);
     }
@@ -255,6 +257,22 @@
     assertThat(shareInTime(10_000 + RECOVERY_MILLIS, 20_000)).isGreaterThan(BACK_SHARE * calm);
   }
 
+  @Test
+  void callsAreRefusedAtOnceInSustainedOverload() {
+    play(5_000, 80);
+    play(25_000, 300);
+    List<Long> heldMillis =
+        calls.stream()
+            .filter(call -> call.arrivedMillis > 10_000 && call.refusedMillis >= 0)
+            .map(call -> call.refusedMillis - call.arrivedMillis)
+            .toList();
+
+    assertThat(heldMillis).hasSizeGreaterThan(1_000);
+    assertThat(heldMillis.stream().filter(held -> held > GOAL_MILLIS / 8).count())
+        .isLessThan(heldMillis.size() / 2);
+    assertThat(shareInTime(10_000, 25_000)).isGreaterThan(0.3);
+  }
+
   /** Long prompts need more memory, but are not the only ones to be refused. */
   @Test
   void equallyUrgentRequestsShareSustainedOverload() {
--- a/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
@@ -56,6 +56,60 @@
     assertThat(queue.removeExpired(now + GOAL_MILLIS / 2)).contains("new");
   }
 
+  private long fillStandingQueue(int placementsPerStep) {
+    long now = 0;
+    for (; now <= PlacementQueue.STANDING_MILLIS + 100; now += 100) {
+      for (int i = 0; i < placementsPerStep; i++) {
+        String placed = "placed" + now + "-" + i;
+        queue.add(placed, 1, GOAL_MILLIS, now);
+        queue.placed(placed, now);
+      }
+      queue.add("r" + now, 1, GOAL_MILLIS, now);
+      queue.removeExpired(now);
+    }
+    return now;
+  }
+
+  /** Such requests were held for the permitted wait and then refused. */
+  @Test
+  void requestWhoseTurnComesTooLateIsNotHeldInStandingQueue() {
+    long now = fillStandingQueue(1);
+
+    assertThat(queue.isFull(1, GOAL_MILLIS, now)).isTrue();
+    assertThat(queue.isFull(0, GOAL_MILLIS, now)).isFalse();
+  }
+
+  @Test
+  void requestWhoseTurnComesInTimeWaitsInStandingQueue() {
+    long now = fillStandingQueue(4);
+
+    assertThat(queue.isStanding(now)).isTrue();
+    assertThat(queue.isFull(1, GOAL_MILLIS, now)).isFalse();
+  }
+
+  /** Engines become free in groups, so a queue that is emptied at times may still be standing. */
+  @Test
+  void queueThatIsEmptyForMomentsIsStanding() {
+    long now = 0;
+    for (; now <= PlacementQueue.STANDING_MILLIS + 100; now += 50) {
+      String request = "r" + now;
+      queue.add(request, 1, GOAL_MILLIS, now);
+      queue.placed(request, now + 20);
+    }
+
+    assertThat(queue.isStanding(now)).isTrue();
+    assertThat(queue.isStanding(now + 100)).isFalse();
+  }
+
+  @Test
+  void shortLivedQueueIsNeverFull() {
+    for (int i = 0; i < 100; i++) {
+      queue.add("r" + i, 1, GOAL_MILLIS, 0);
+    }
+
+    assertThat(queue.isFull(1, GOAL_MILLIS, PlacementQueue.STANDING_MILLIS / 2)).isFalse();
+  }
+
   @Test
   void queueThatWasEmptyIsNotStanding() {
     queue.add("old", 1, GOAL_MILLIS, 0);
