--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -117,6 +117,9 @@
             "bulrushpier.upstream.connections.opened",
             "Connections opened to upstreams since the start",
             () -> context.upstreamPool().openedConnections());
+    context
+        .metrics()
+        .gauge("bulrushpier.callers.connections", "Connections of callers", connections::size);
     context
         .metrics()
         .gauge(
