--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -120,6 +120,9 @@
             "bulrushpier.upstream.connections.opened",
             "Connections opened to upstreams since the start",
             () -> context.upstreamPool().openedConnections());
+    context
+        .metrics()
+        .gauge("bulrushpier.callers.connections", "Connections of callers", connections::size);
     context
         .metrics()
         .gauge(
@@ -146,7 +149,7 @@
     watch(StoreFormat.REPLICAS, REPLICA_TIMING, new ReplicaWatcher(context));
     watch(StoreFormat.WEIGHTS, WEIGHTS_TIMING, new WeightsWatcher(context));
     watch(StoreFormat.LEASES, LEASE_TIMING, rollouts);
-    tick();
+    loop.every(TICK_MILLIS, this::tick);
   }
 
   /**
@@ -190,7 +193,8 @@
   private void tick() {
     long now = MonotonicClock.millis();
     for (Exchange exchange : exchanges.toArray(new Exchange[0])) {
-      exchange.tick(now);
+      // A failure must not keep the other requests from their timeouts.
+      loop.run(() -> exchange.tick(now));
     }
     context.placementQueues().forEach((service, queue) -> placeWaiting(service, queue, now));
     exchanges.removeIf(Exchange::isDone);
@@ -205,7 +209,6 @@
       fleet.tick(now);
     }
     rollouts.tick(isShuttingDown);
-    loop.after(TICK_MILLIS, this::tick);
   }
 
   /** Places waiting requests as far as engines can take them, and refuses those that expired. */
@@ -217,7 +220,7 @@
     }
     if (queue.isStanding(nowMillis) && overloaded.add(service)) {
       context.log().event("overload", "service", service, "waiting", queue.size());
-    } else if (queue.size() == 0 && overloaded.remove(service)) {
+    } else if (!queue.isStanding(nowMillis) && overloaded.remove(service)) {
       context.log().event("overload-ended", "service", service);
     }
   }
