Only a queue that is standing remains so while it is empty for moments

Cause: emptiness for less than 100 ms was ignored both for becoming and for remaining standing.

Change: a queue becomes standing only after 1 s without being empty, as before; moments count only afterwards.

Tests: PlacementQueueTest.queueThatIsEmptyAtTimesDoesNotBecomeStanding and standingQueueRemainsStandingWhileItIsEmptyForMoments.

--- a/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
@@ -102,7 +102,7 @@
    * @param nowMillis the current monotonic time, in milliseconds
    */
   public void add(T request, int priority, long goalMillis, long nowMillis) {
-    if (isEmptied(nowMillis)) {
+    if (entries.isEmpty() && !isStanding(nowMillis)) {
       nonEmptySinceMillis = nowMillis;
     }
     lastNonEmptyMillis = nowMillis;
@@ -161,18 +161,17 @@
     return expired;
   }
 
-  private boolean isEmptied(long nowMillis) {
-    return entries.isEmpty() && nowMillis - lastNonEmptyMillis > EMPTY_MILLIS;
-  }
-
   /**
-   * Checks whether the queue has not been empty for some time, except for moments.
+   * Checks whether the queue has not been empty for some time. A queue that is standing remains so
+   * until it has been empty for more than a moment.
    *
    * @param nowMillis the current monotonic time, in milliseconds
    * @return true if the load exceeds the capacity and not only for a moment
    */
   public boolean isStanding(long nowMillis) {
-    return !isEmptied(nowMillis) && nowMillis - nonEmptySinceMillis > STANDING_MILLIS;
+    long untilMillis = entries.isEmpty() ? lastNonEmptyMillis : nowMillis;
+    return nowMillis - untilMillis <= EMPTY_MILLIS
+        && untilMillis - nonEmptySinceMillis > STANDING_MILLIS;
   }
 
   /**
@@ -186,7 +185,8 @@
    * @return the delay in milliseconds
    */
   public long retryDelayMillis(long goalMillis, long nowMillis, RandomGenerator random) {
-    long standing = isEmptied(nowMillis) ? 0 : nowMillis - nonEmptySinceMillis;
+    boolean isEmptied = entries.isEmpty() && !isStanding(nowMillis);
+    long standing = isEmptied ? 0 : nowMillis - nonEmptySinceMillis;
     long delay = Math.clamp(standing, Math.min(goalMillis, MAX_RETRY_MILLIS), MAX_RETRY_MILLIS);
     return delay / 2 + random.nextLong(delay + 1);
   }
--- a/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
@@ -87,20 +87,34 @@
     assertThat(queue.isFull(1, GOAL_MILLIS, now)).isFalse();
   }
 
-  /** Engines become free in groups, so a queue that is emptied at times may still be standing. */
-  @Test
-  void queueThatIsEmptyForMomentsIsStanding() {
-    long now = 0;
-    for (; now <= PlacementQueue.STANDING_MILLIS + 100; now += 50) {
+  private long alternate(long fromMillis, long forMillis) {
+    long now = fromMillis;
+    for (; now < fromMillis + forMillis; now += 50) {
       String request = "r" + now;
       queue.add(request, 1, GOAL_MILLIS, now);
       queue.placed(request, now + 20);
     }
+    return now;
+  }
+
+  /** Engines become free in groups, so a standing queue is empty at times. */
+  @Test
+  void standingQueueRemainsStandingWhileItIsEmptyForMoments() {
+    queue.add("r", 1, GOAL_MILLIS, 0);
+    queue.placed("r", PlacementQueue.STANDING_MILLIS + 20);
+    long now = alternate(PlacementQueue.STANDING_MILLIS + 50, 2_000);
 
     assertThat(queue.isStanding(now)).isTrue();
     assertThat(queue.isStanding(now + 100)).isFalse();
   }
 
+  @Test
+  void queueThatIsEmptyAtTimesDoesNotBecomeStanding() {
+    long now = alternate(0, 3_000);
+
+    assertThat(queue.isStanding(now)).isFalse();
+  }
+
   @Test
   void shortLivedQueueIsNeverFull() {
     for (int i = 0; i < 100; i++) {
