--- a/bin/jdk.sh
+++ b/bin/jdk.sh
@@ -19,7 +19,7 @@
 JAVA_HOME=$(find_jdk) || exit 1
 export JAVA_HOME
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-CLASSES="$ROOT/rig/target/classes:$ROOT/daemon/target/classes:$ROOT/library/target/classes:$ROOT/rig/target/lib/*"
+CLASSES="$ROOT/rig/target/classes:$ROOT/daemon/target/classes:$ROOT/platform/target/classes:$ROOT/library/target/classes:$ROOT/rig/target/lib/*"
 JVM_FLAGS=(-Dmsgpack.universal-buffer=true -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss256k -Xshare:auto -XX:-UsePerfData)
 build_if_needed() {
   if [ ! -d "$ROOT/rig/target/lib" ] || [ -n "$(find "$ROOT"/*/src/main "$ROOT"/*/pom.xml -newer "$ROOT/rig/target/built" 2>/dev/null | head -1)" ] || [ ! -f "$ROOT/rig/target/built" ]; then
--- a/rig/src/main/java/org/bulrushpier/rig/Main.java
+++ b/rig/src/main/java/org/bulrushpier/rig/Main.java
@@ -9,6 +9,7 @@
 import org.bulrushpier.rig.platform.PlatformCommand;
 import org.bulrushpier.rig.proxy.ProxyCommand;
 import org.bulrushpier.rig.service.ServiceCommand;
+import org.bulrushpier.rig.soak.SoakCommand;
 import org.bulrushpier.rig.store.StoreCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -30,7 +31,8 @@
       ProxyCommand.class,
       AskCommand.class,
       CallCommand.class,
-      MeasureCommand.class
+      MeasureCommand.class,
+      SoakCommand.class
     })
 public final class Main {
 
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import org.bulrushpier.Address;
+import org.bulrushpier.adapter.StoreFormat;
 
 /**
  * Fake metadata store of the users' platform: objects by kind and name, with conditional writes,
@@ -73,6 +74,34 @@
     commit(kind + "/" + name, json.readTree(content));
   }
 
+  /**
+   * Writes a replica's registry entry unless it is already stored or the store is down.
+   *
+   * @param replica the replica
+   * @param service the name of its service
+   * @throws IOException if the entry is not valid JSON
+   */
+  public synchronized void register(ReplicaFake replica, String service) throws IOException {
+    String entry = replica.entry(service, "ready");
+    if (!isDown && !json.readTree(entry).equals(content(StoreFormat.REPLICAS, replica.id()))) {
+      put(StoreFormat.REPLICAS, replica.id(), entry);
+    }
+  }
+
+  /**
+   * Requests a version of the weights that {@link ReplicaFake} serves, in place of an operator.
+   *
+   * @param version the version
+   * @return true, or false if the store is down
+   * @throws IOException never, as the written object is valid
+   */
+  public synchronized boolean requestWeights(int version) throws IOException {
+    if (!isDown) {
+      put(StoreFormat.WEIGHTS, "m0", "{\"model\":\"m0\",\"version\":" + version + "}");
+    }
+    return !isDown;
+  }
+
   /**
    * Removes an object if it exists.
    *
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/RawHttpServer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/RawHttpServer.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
@@ -115,19 +116,17 @@
         requestParts[0], requestParts[1], headers, new String(body, StandardCharsets.UTF_8));
   }
 
-  private static String readLine(InputStream in) throws IOException {
+  /** Reads a line; returns null if the connection ends before the end of the line. */
+  static String readLine(InputStream in) throws IOException {
     StringBuilder line = new StringBuilder();
     int character = in.read();
-    if (character < 0) {
-      return null;
-    }
     while (character >= 0 && character != '\n') {
       if (character != '\r') {
         line.append((char) character);
       }
       character = in.read();
     }
-    return line.toString();
+    return character < 0 ? null : line.toString();
   }
 
   static void send(Socket socket, String text) throws IOException {
@@ -148,6 +147,23 @@
     return true;
   }
 
+  /**
+   * Checks whether the peer has closed the connection; the peer must not have sent the next
+   * request.
+   */
+  static boolean isClosedByPeer(Socket socket) throws IOException {
+    try {
+      socket.setSoTimeout(1);
+      return socket.getInputStream().read() < 0;
+    } catch (SocketTimeoutException e) {
+      return false;
+    } finally {
+      if (!socket.isClosed()) {
+        socket.setSoTimeout(0);
+      }
+    }
+  }
+
   /** Closes all open connections, as a crash of the process would. */
   void dropConnections() {
     for (Socket socket : sockets) {
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -1,20 +1,30 @@
 package org.bulrushpier.rig.gateway;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.bulrushpier.Address;
+import org.bulrushpier.MonotonicClock;
+import org.bulrushpier.rig.Faults;
 
 /**
  * Fake replica of the users' platform, for a plain service or an engine, which records the requests
  * it executes and the orders it accepts.
  *
- * <p>Thread-safe; guarded by one lock. Its behaviour can be changed at any time.
+ * <p>An engine runs as many generations at a time as it has slots; others wait in the order of
+ * their arrival. A generation for another version of the weights than the served one is not
+ * executed and answered 421. Thread-safe; guarded by one lock. Its behaviour can be changed at any
+ * time.
  */
 public final class ReplicaFake implements Closeable {
 
@@ -42,31 +52,85 @@
     ENDLESS_BODY
   }
 
-  /** The number of events in a complete stream. */
+  /** How an engine handles orders to change its weights. */
+  public enum OrderBehaviour {
+    /** Accepts the order and carries it out. */
+    PROMPT,
+    /** Accepts the order and carries it out late. */
+    LATE,
+    /** Carries the order out late and does not answer it. */
+    LATE_UNANSWERED,
+    /** Neither answers the order nor carries it out. */
+    UNANSWERED
+  }
+
+  /**
+   * The duration of the work of a replica. Immutable and thread-safe.
+   *
+   * @param startMillis the time from the start of an execution to its first byte, in milliseconds
+   * @param eventMillis the time before each further event of a stream, in milliseconds
+   * @param changeMillis the time that a change of the weights takes, in milliseconds
+   */
+  public record Pace(long startMillis, long eventMillis, long changeMillis) {}
+
+  /** The number of events in a complete stream of a request that does not state its output. */
   public static final int EVENTS = 5;
 
+  private static final int OK = 200;
   private static final int ACCEPTED = 202;
+  private static final int CONFLICT = 409;
+  private static final long POLL_MILLIS = 10;
 
+  private final ObjectMapper json = new ObjectMapper();
   private final String id;
+  private final int slots;
+  private final Consumer<Execution> listener;
   private final RawHttpServer server;
+  private final Deque<Object> waiting = new ArrayDeque<>();
   private final List<Execution> executions = new ArrayList<>();
   private final List<String> orders = new ArrayList<>();
   private final CountDownLatch released = new CountDownLatch(1);
   private final AtomicLong endlessBytes = new AtomicLong();
   private Behaviour behaviour = Behaviour.ANSWER;
+  private Pace pace = new Pace(0, 0, 0);
+  private OrderBehaviour orderBehaviour = OrderBehaviour.PROMPT;
+  private long ordersDelayedUntilMillis;
+  private boolean isChanging;
+  private int running;
   private int version = 1;
 
   /**
    * An executed request.
    *
+   * @param replica the id of the replica
+   * @param version the version of the weights that the replica served
    * @param target the path and query
    * @param headers the header fields by lower-case name
    * @param body the body
    */
-  public record Execution(String target, Map<String, String> headers, String body) {}
+  public record Execution(
+      String replica, int version, String target, Map<String, String> headers, String body) {
+
+    /** Returns the id that the caller gave the request. */
+    public String requestId() {
+      return headers.getOrDefault("attempt-id", "");
+    }
+
+    /** Returns the name of the customer for whom the request was sent. */
+    public String customer() {
+      return headers.getOrDefault("tenant", "");
+    }
+
+    /** Returns whether the request is a generation, which uses the weights. */
+    public boolean isGeneration() {
+      return headers.containsKey("model");
+    }
+  }
 
-  private ReplicaFake(String id) throws IOException {
+  private ReplicaFake(String id, int slots, Consumer<Execution> listener) throws IOException {
     this.id = id;
+    this.slots = slots;
+    this.listener = listener;
     server = new RawHttpServer(this::handle);
   }
 
@@ -78,7 +142,39 @@
    * @throws IOException if no port is free
    */
   public static ReplicaFake start(String id) throws IOException {
-    return new ReplicaFake(id);
+    return new ReplicaFake(id, Integer.MAX_VALUE, execution -> {});
+  }
+
+  /**
+   * Starts a replica on a free port.
+   *
+   * @param id the replica's instance id
+   * @param slots the number of generations that it runs at a time
+   * @param listener receives each execution at its start, before any byte of the response
+   * @return the replica
+   * @throws IOException if no port is free
+   */
+  public static ReplicaFake start(String id, int slots, Consumer<Execution> listener)
+      throws IOException {
+    return new ReplicaFake(id, slots, listener);
+  }
+
+  /**
+   * Returns the replica's instance id.
+   *
+   * @return the id
+   */
+  public String id() {
+    return id;
+  }
+
+  /**
+   * Returns the version of the weights that the replica serves.
+   *
+   * @return the version
+   */
+  public synchronized int version() {
+    return version;
   }
 
   /**
@@ -99,6 +195,32 @@
     behaviour = next;
   }
 
+  /**
+   * Changes the duration of subsequent work.
+   *
+   * @param next the new durations
+   */
+  public synchronized void setPace(Pace next) {
+    pace = next;
+  }
+
+  /**
+   * Changes how orders are handled.
+   *
+   * @param next the new behaviour
+   * @param millis how long it applies, in milliseconds; orders that are carried out late are
+   *     carried out after this time
+   */
+  public synchronized void setOrderBehaviour(OrderBehaviour next, long millis) {
+    orderBehaviour = next;
+    ordersDelayedUntilMillis = MonotonicClock.millis() + millis;
+  }
+
+  /** Closes all open connections, as a crash of the process would. */
+  public void dropConnections() {
+    server.dropConnections();
+  }
+
   /** Releases the requests and streams that are waiting. */
   public void release() {
     released.countDown();
@@ -147,16 +269,55 @@
 
   private synchronized String report() {
     return ("{\"stage\":\"colocated\",\"models\":[{\"name\":\"m0\",\"version\":%d}],"
-            + "\"busy\":false,\"seq\":%d,\"queued\":0,\"running\":0,"
+            + "\"busy\":%b,\"seq\":%d,\"queued\":%d,\"running\":%d,"
             + "\"kv_used\":0,\"kv_total\":50000,\"handles\":0}")
-        .formatted(version, orders.size());
+        .formatted(version, isChanging, orders.size(), waiting.size(), running);
   }
 
-  private synchronized boolean order(RawHttpServer.Request request, Socket socket)
-      throws IOException {
+  private boolean order(RawHttpServer.Request request, Socket socket) throws IOException {
+    JsonNode order = json.readTree(request.body());
+    OrderBehaviour current;
+    int status;
+    synchronized (this) {
+      long delay = ordersDelayedUntilMillis - MonotonicClock.millis();
+      current = delay > 0 ? orderBehaviour : OrderBehaviour.PROMPT;
+      status =
+          current == OrderBehaviour.UNANSWERED ? 0 : accept(request, order, Math.max(0, delay));
+    }
+    if (current == OrderBehaviour.UNANSWERED || current == OrderBehaviour.LATE_UNANSWERED) {
+      while (!RawHttpServer.isClosedByPeer(socket)) {
+        Faults.sleep(POLL_MILLIS);
+      }
+      return false;
+    }
+    return RawHttpServer.sendJson(socket, status, "");
+  }
+
+  private int accept(RawHttpServer.Request request, JsonNode order, long delayMillis) {
+    int ordered = order.path("version").asInt();
+    if (!isChanging && ordered <= version) {
+      return OK;
+    }
+    if (isChanging || order.path("expected").asInt() != orders.size()) {
+      return CONFLICT;
+    }
     orders.add(request.body());
-    version++;
-    return RawHttpServer.sendJson(socket, ACCEPTED, "");
+    long millis = pace.changeMillis() + delayMillis;
+    if (millis == 0) {
+      version = ordered;
+      return ACCEPTED;
+    }
+    isChanging = true;
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              Faults.sleep(millis);
+              synchronized (this) {
+                version = ordered;
+                isChanging = false;
+              }
+            });
+    return ACCEPTED;
   }
 
   private boolean kvEvents(RawHttpServer.Request request, Socket socket) throws IOException {
@@ -171,20 +332,73 @@
   }
 
   private boolean call(RawHttpServer.Request request, Socket socket) throws IOException {
+    if (!request.headers().containsKey("model")) {
+      return execute(request, socket);
+    }
+    if (!awaitSlot(socket)) {
+      return false;
+    }
+    try {
+      return execute(request, socket);
+    } finally {
+      synchronized (this) {
+        running--;
+      }
+    }
+  }
+
+  /** Waits for a free slot; returns false if the peer closed the connection before. */
+  private boolean awaitSlot(Socket socket) throws IOException {
+    Object ticket = new Object();
+    synchronized (this) {
+      waiting.add(ticket);
+    }
+    try {
+      while (true) {
+        synchronized (this) {
+          if (running < slots && waiting.peek() == ticket) {
+            running++;
+            return true;
+          }
+        }
+        if (RawHttpServer.isClosedByPeer(socket)) {
+          return false;
+        }
+        Faults.sleep(POLL_MILLIS);
+      }
+    } finally {
+      synchronized (this) {
+        waiting.remove(ticket);
+      }
+    }
+  }
+
+  private boolean execute(RawHttpServer.Request request, Socket socket) throws IOException {
     Behaviour current;
+    Execution execution = null;
+    boolean isMisdirected;
     synchronized (this) {
       current = behaviour;
-      if (!request.header("expect-instance").equals(id)) {
-        RawHttpServer.send(
-            socket, "HTTP/1.1 421 X\r\nInstance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
-        return true;
-      }
-      if (current != Behaviour.REFUSE) {
-        executions.add(new Execution(request.target(), request.headers(), request.body()));
+      String expectedVersion = request.header("expect-version");
+      isMisdirected =
+          !request.header("expect-instance").equals(id)
+              || !(expectedVersion.isEmpty() || expectedVersion.equals("" + version));
+      if (!isMisdirected && current != Behaviour.REFUSE) {
+        execution = new Execution(id, version, request.target(), request.headers(), request.body());
+        executions.add(execution);
+        listener.accept(execution);
       }
     }
+    if (isMisdirected) {
+      return sendAll(
+          socket, "HTTP/1.1 421 X\r\nInstance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+    }
     String attemptHeaders =
         "Attempt-Id: " + request.header("attempt-id") + "\r\nServer-Seal: " + id + "\r\n";
+    if (execution != null) {
+      attemptHeaders += weightsHeader(execution);
+      Faults.sleep(startMillis());
+    }
     return switch (current) {
       case REFUSE ->
           sendAll(socket, "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
@@ -212,6 +426,24 @@
     };
   }
 
+  private static String weightsHeader(Execution execution) {
+    return execution.isGeneration() ? "Weight-Versions: " + execution.version() + "\r\n" : "";
+  }
+
+  private synchronized long startMillis() {
+    return pace.startMillis();
+  }
+
+  private synchronized long eventMillis() {
+    return pace.eventMillis();
+  }
+
+  /** Returns the number of events of the whole stream, which is the stated output. */
+  private static int events(RawHttpServer.Request request) {
+    String[] size = request.header("token-usage").split(",");
+    return size.length < 2 ? EVENTS : Integer.parseInt(size[1]);
+  }
+
   private static boolean sendAll(Socket socket, String text) throws IOException {
     RawHttpServer.send(socket, text);
     return true;
@@ -241,11 +473,14 @@
             + attemptHeaders
             + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     int firstEvent = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0")) + 1;
-    for (int event = firstEvent; event <= EVENTS; event++) {
+    for (int event = firstEvent; event <= events(request); event++) {
       if (current == Behaviour.CUT_STREAM && firstEvent == 1 && event == 3) {
         sendChunk(socket, "id: " + event + "\nda");
         return false;
       }
+      if (event > firstEvent) {
+        Faults.sleep(eventMillis());
+      }
       sendChunk(socket, "id: " + event + "\ndata: " + event + "\n\n");
       if (current == Behaviour.HOLD_STREAM && event == firstEvent) {
         awaitRelease();
--- a/rig/src/main/java/org/bulrushpier/rig/proxy/ProxyLink.java
+++ b/rig/src/main/java/org/bulrushpier/rig/proxy/ProxyLink.java
@@ -1,5 +1,6 @@
 package org.bulrushpier.rig.proxy;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -20,7 +21,7 @@
  * <p>A cut holds back bytes without closing connections, as a network partition does; the bytes are
  * delivered when the cut ends. Thread-safe.
  */
-final class ProxyLink {
+public final class ProxyLink implements Closeable {
 
   private static final int BUFFER_BYTES = 16_384;
   private static final int QUEUE_CHUNKS = 1_024;
@@ -38,8 +39,16 @@
     this.server = server;
   }
 
-  /** The impairments that a link applies. Immutable and thread-safe. */
-  record Impairments(
+  /**
+   * The impairments that a link applies. Immutable and thread-safe.
+   *
+   * @param isCutToTarget whether bytes to the target are held back
+   * @param isCutFromTarget whether bytes from the target are held back
+   * @param isRefusing whether present and new connections are reset
+   * @param delayMillis the latency that is added in each direction, in milliseconds
+   * @param bytesPerSecond the bandwidth of each connection and direction, or 0 if unlimited
+   */
+  public record Impairments(
       boolean isCutToTarget,
       boolean isCutFromTarget,
       boolean isRefusing,
@@ -48,20 +57,55 @@
 
   private record Chunk(byte[] bytes, long dueMillis) {}
 
-  static ProxyLink open(Address listen, Address target) {
+  /**
+   * Opens a link.
+   *
+   * @param listen the listen address
+   * @param target the address that connections are forwarded to
+   * @return the link
+   */
+  public static ProxyLink open(Address listen, Address target) {
+    return open(listen.host(), listen.port(), target);
+  }
+
+  /**
+   * Opens a link on a free port.
+   *
+   * @param target the address that connections are forwarded to
+   * @return the link
+   */
+  public static ProxyLink open(Address target) {
+    return open("127.0.0.1", 0, target);
+  }
+
+  private static ProxyLink open(String host, int port, Address target) {
     try {
       ServerSocket server = new ServerSocket();
       server.setReuseAddress(true);
-      server.bind(new InetSocketAddress(InetAddress.getByName(listen.host()), listen.port()));
+      server.bind(new InetSocketAddress(InetAddress.getByName(host), port));
       ProxyLink link = new ProxyLink(target, server);
       Thread.ofVirtual().start(link::acceptConnections);
       return link;
     } catch (IOException e) {
-      throw new IllegalStateException("proxy cannot listen on " + listen, e);
+      throw new IllegalStateException("proxy cannot listen on " + host + ":" + port, e);
     }
   }
 
-  void setImpairments(Impairments newImpairments) {
+  /**
+   * Returns the listen address.
+   *
+   * @return the address
+   */
+  public Address address() {
+    return new Address(server.getInetAddress().getHostAddress(), server.getLocalPort());
+  }
+
+  /**
+   * Changes the impairments.
+   *
+   * @param newImpairments the new impairments
+   */
+  public void setImpairments(Impairments newImpairments) {
     impairments = newImpairments;
     if (newImpairments.isRefusing()) {
       sockets.forEach(ProxyLink::reset);
@@ -150,4 +194,10 @@
       Thread.currentThread().isInterrupted();
     }
   }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    sockets.forEach(ProxyLink::reset);
+  }
 }
--- /dev/null
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Client.java
@@ -0,0 +1,114 @@
+package org.bulrushpier.rig.soak;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import org.bulrushpier.rig.Faults;
+import org.bulrushpier.rig.gateway.CallerFake;
+import org.bulrushpier.rig.gateway.CallerFake.Answer;
+import org.bulrushpier.rig.gateway.CallerFake.Call;
+import org.bulrushpier.rig.gateway.CallerFake.Route;
+
+/**
+ * A client that makes calls one after the other until it is stopped.
+ *
+ * <p>It either keeps its connection as long as the connection lasts, also to an instance that is
+ * not ready, or makes each call over a new connection to a ready instance. Not thread-safe, except
+ * for {@link #stop}.
+ */
+final class Client implements Runnable {
+
+  private static final long WAIT_MILLIS = 6_000;
+  private static final int TIMEOUT_MILLIS = 8_000;
+  private static final int MAX_PAUSE_MILLIS = 400;
+  private static final int SESSIONS = 30;
+  private static final int MAX_EVENTS = 40;
+  private static final int LONG_EVENTS = 100;
+
+  private final SoakSite site;
+  private final Observer observer;
+  private final String name;
+  private final boolean keepsConnection;
+  private final Random random;
+  private int calls;
+  private CallerFake caller;
+  private Instance instance;
+  private Instance.Run run;
+  private volatile boolean isStopped;
+
+  Client(SoakSite site, Observer observer, String name, boolean keepsConnection, long seed) {
+    this.site = site;
+    this.observer = observer;
+    this.name = name;
+    this.keepsConnection = keepsConnection;
+    this.random = new Random(seed);
+  }
+
+  /** Makes the client return after its current call. */
+  void stop() {
+    isStopped = true;
+  }
+
+  @Override
+  public void run() {
+    try {
+      while (!isStopped) {
+        Faults.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+        List<Instance> ready = site.instances().stream().filter(Instance::isReady).toList();
+        if (caller != null
+            || (!ready.isEmpty() && connect(ready.get(random.nextInt(ready.size()))))) {
+          int kind = random.nextInt(100);
+          call(
+              kind < 45
+                  ? Route.STREAM
+                  : kind < 65 ? Route.NOTE : kind < 85 ? Route.ONCE : Route.SAFE);
+        }
+      }
+      disconnect();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Connects to an instance; returns false if it cannot be reached. */
+  boolean connect(Instance target) {
+    try {
+      instance = target;
+      run = target.run();
+      caller = CallerFake.open(target.callerAddress(), TIMEOUT_MILLIS);
+      return true;
+    } catch (IOException e) {
+      caller = null;
+      return false;
+    }
+  }
+
+  /** Makes a call over the present connection. */
+  Answer call(Route route) throws IOException {
+    int customer = random.nextInt(site.keys().size());
+    List<String> customers = List.copyOf(site.keys().keySet());
+    int events = random.nextInt(20) == 0 ? LONG_EVENTS : 1 + random.nextInt(MAX_EVENTS);
+    Call call =
+        new Call(
+            name + "-" + ++calls,
+            route,
+            site.keys().get(customers.get(customer)),
+            random.nextInt(SESSIONS),
+            events,
+            WAIT_MILLIS);
+    observer.callBegins(call, customers.get(customer), instance, run);
+    Answer answer = caller.send(call);
+    observer.callEnds(call, answer);
+    if (!answer.isWhole() || !keepsConnection) {
+      disconnect();
+    }
+    return answer;
+  }
+
+  private void disconnect() throws IOException {
+    if (caller != null) {
+      caller.close();
+      caller = null;
+    }
+  }
+}
--- /dev/null
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -0,0 +1,247 @@
+package org.bulrushpier.rig.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.bulrushpier.MonotonicClock;
+import org.bulrushpier.rig.gateway.CallerFake.Answer;
+import org.bulrushpier.rig.gateway.CallerFake.Call;
+import org.bulrushpier.rig.gateway.CallerFake.Route;
+import org.bulrushpier.rig.gateway.ReplicaFake.Execution;
+
+/**
+ * Checks the promises of the gateway from what callers receive and replicas execute.
+ *
+ * <p>Thread-safe. The records of calls have one lock each; no other lock is taken under it except
+ * that of an instance.
+ */
+final class Observer {
+
+  /** The time during which a process that got SIGTERM serves its calls in progress, in ms. */
+  private static final long GRACE_MILLIS = (long) (0.85 * 1_000 * SoakSite.SHUTDOWN_SECONDS);
+
+  private static final long DEADLINE_MARGIN_MILLIS = 50;
+
+  /** The checked promises. */
+  enum Promise {
+    /** No generation starts on weights that have been outdated for longer than allowed. */
+    VERSION,
+    /** A call that must not be repeated is executed at most once. */
+    ONCE,
+    /** A call that was refused is not executed. */
+    REFUSED,
+    /** A stream has each event once, in order, and all of them if it ended normally. */
+    STREAM,
+    /** A caller receives the answer to its own call. */
+    ANSWER,
+    /** A call is sent in the name of the customer whose key it has. */
+    CUSTOMER,
+    /** SIGTERM cuts off no call in progress. */
+    TERMINATION,
+    /** After all faults, every engine serves the newest version and calls are answered. */
+    RECOVERY
+  }
+
+  private final Consumer<String> log;
+  private final Map<String, CallRecord> calls = new ConcurrentHashMap<>();
+  private final Map<Integer, Long> requestedMillis = new ConcurrentHashMap<>();
+  private final Map<String, Long> faultyUntilMillis = new ConcurrentHashMap<>();
+  private final Map<Promise, List<String>> violations = new TreeMap<>();
+  private final Map<Integer, Integer> statuses = new TreeMap<>();
+  private final AtomicLong executions = new AtomicLong();
+  private final AtomicLong outdatedStarts = new AtomicLong();
+
+  /** A call with what is known of its executions and its answer. Guarded by its own lock. */
+  private static final class CallRecord {
+    private final Call call;
+    private final String customer;
+    private final Instance instance;
+    private final Instance.Run run;
+    private final long beginMillis = MonotonicClock.millis();
+    private final List<Execution> executions = new ArrayList<>();
+    private boolean isRefused;
+
+    CallRecord(Call call, String customer, Instance instance, Instance.Run run) {
+      this.call = call;
+      this.customer = customer;
+      this.instance = instance;
+      this.run = run;
+    }
+
+    String text() {
+      return "%s %s at %s, begun %d ms ago"
+          .formatted(
+              call.route(), call.id(), instance.name(), MonotonicClock.millis() - beginMillis);
+    }
+  }
+
+  Observer(Consumer<String> log) {
+    this.log = log;
+  }
+
+  /** Records that the store acknowledged the request for a version. */
+  void versionRequested(int version) {
+    requestedMillis.put(version, MonotonicClock.millis());
+  }
+
+  /** Records that a replica loses connections or answers for some time. */
+  void replicaFaulty(String replica, long millis) {
+    faultyUntilMillis.merge(replica, MonotonicClock.millis() + millis, Math::max);
+  }
+
+  /** Records a call before it is sent. */
+  void callBegins(Call call, String customer, Instance instance, Instance.Run run) {
+    calls.put(call.id(), new CallRecord(call, customer, instance, run));
+  }
+
+  /** Checks an execution at its start. */
+  void executionStarts(Execution execution) {
+    executions.incrementAndGet();
+    CallRecord record = calls.get(execution.requestId());
+    if (record == null) {
+      violated(Promise.ANSWER, "unknown call " + execution.requestId() + " was executed");
+      return;
+    }
+    synchronized (record) {
+      record.executions.add(execution);
+      String text = record.text() + ", executed by " + execution.replica();
+      if (record.call.route() == Route.ONCE && record.executions.size() > 1) {
+        violated(Promise.ONCE, text + " for the second time");
+      }
+      if (record.isRefused) {
+        violated(Promise.REFUSED, text + " after it was refused");
+      }
+      if (!execution.customer().equals(record.customer)) {
+        violated(
+            Promise.CUSTOMER, text + " for " + execution.customer() + ", not " + record.customer);
+      }
+      if (execution.isGeneration()) {
+        checkVersion(record, execution, text);
+      }
+    }
+  }
+
+  private void checkVersion(CallRecord record, Execution execution, String text) {
+    Long successorMillis = requestedMillis.get(execution.version() + 1);
+    if (successorMillis == null) {
+      return;
+    }
+    long outdated = MonotonicClock.millis() - successorMillis;
+    if (outdated > SoakSite.CHANGE_MILLIS) {
+      outdatedStarts.incrementAndGet();
+      if (record.instance.isInContact(record.run)) {
+        violated(
+            Promise.VERSION,
+            "%s on version %d, whose successor was acknowledged %d ms ago"
+                .formatted(text, execution.version(), outdated));
+      }
+    }
+  }
+
+  /** Checks what the caller of a call received. */
+  void callEnds(Call call, Answer answer) {
+    CallRecord record = calls.get(call.id());
+    synchronized (statuses) {
+      statuses.merge(answer.isWhole() ? answer.status() : -answer.status(), 1, Integer::sum);
+    }
+    synchronized (record) {
+      String text = record.text();
+      if (answer.isWhole() && (answer.status() == 503 || answer.status() == 429)) {
+        record.isRefused = true;
+        if (!record.executions.isEmpty()) {
+          violated(
+              Promise.REFUSED,
+              text + " was refused (" + answer.detail() + ") but executed by " + replicas(record));
+        }
+      }
+      if (answer.status() == 200) {
+        checkContent(call, answer, text);
+      }
+      if (!answer.isWhole()) {
+        checkTermination(record, answer, text);
+      }
+    }
+  }
+
+  private static String replicas(CallRecord record) {
+    return String.join(", ", record.executions.stream().map(Execution::replica).toList());
+  }
+
+  private void checkContent(Call call, Answer answer, String text) {
+    if (!answer.id().equals(call.id())) {
+      violated(Promise.ANSWER, text + " got the answer of " + answer.id());
+    } else if (call.route().isGeneration()) {
+      String error = answer.streamError(call.events());
+      if (!error.isEmpty()) {
+        violated(Promise.STREAM, text + ": " + error);
+      }
+    } else if (answer.isWhole() && !answer.body().equals("done")) {
+      violated(Promise.ANSWER, text + " got the answer '" + answer.body() + "'");
+    }
+  }
+
+  /** Checks that a call without a whole answer was not cut off by SIGTERM alone. */
+  private void checkTermination(CallRecord record, Answer answer, String text) {
+    long now = MonotonicClock.millis();
+    long terminated = record.run.terminatedMillis();
+    boolean isCutOff =
+        record.beginMillis < terminated
+            && now >= terminated
+            && now - terminated < GRACE_MILLIS
+            && now - record.beginMillis < record.call.waitMillis() - DEADLINE_MARGIN_MILLIS
+            && !record.run.isKilled()
+            && !record.instance.wasPausedSince(record.beginMillis)
+            && record.executions.stream()
+                .noneMatch(
+                    execution ->
+                        faultyUntilMillis.getOrDefault(execution.replica(), Long.MIN_VALUE)
+                            >= record.beginMillis);
+    if (isCutOff) {
+      violated(
+          Promise.TERMINATION,
+          "%s was cut off %d ms after SIGTERM: %s, executed by [%s]"
+              .formatted(text, now - terminated, answer.detail(), replicas(record)));
+    }
+  }
+
+  /** Records a violation. */
+  void violated(Promise promise, String text) {
+    log.accept("VIOLATION " + promise + ": " + text);
+    synchronized (violations) {
+      violations.computeIfAbsent(promise, p -> new ArrayList<>()).add(text);
+    }
+  }
+
+  /** Returns the violations so far by promise. */
+  Map<Promise, List<String>> violations() {
+    synchronized (violations) {
+      Map<Promise, List<String>> copy = new TreeMap<>();
+      violations.forEach((promise, texts) -> copy.put(promise, List.copyOf(texts)));
+      return copy;
+    }
+  }
+
+  /**
+   * Returns the number of answers by status; those that were cut off have the negative status, and
+   * 0 if nothing was received.
+   */
+  Map<Integer, Integer> statuses() {
+    synchronized (statuses) {
+      return new TreeMap<>(statuses);
+    }
+  }
+
+  /** Returns the number of executions. */
+  long executions() {
+    return executions.get();
+  }
+
+  /** Returns the number of generations that started too late, at any instance. */
+  long outdatedStarts() {
+    return outdatedStarts.get();
+  }
+}
--- /dev/null
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -0,0 +1,179 @@
+package org.bulrushpier.rig.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
+import org.bulrushpier.rig.gateway.ReplicaFake.OrderBehaviour;
+
+/**
+ * The faults of a soak in the order of their starts, drawn from a seed as a sequence of overlapping
+ * series.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param entries the faults
+ */
+record Schedule(List<Entry> entries) {
+
+  private static final long FIRST_MILLIS = 1_000;
+  private static final long MIN_GAP_MILLIS = 300;
+  private static final long MAX_GAP_MILLIS = 3_500;
+
+  /**
+   * A fault and its start. Immutable and thread-safe.
+   *
+   * @param atMillis the start, in milliseconds from the start of the schedule
+   * @param fault the fault
+   */
+  record Entry(long atMillis, Fault fault) {}
+
+  /** Draws a schedule whose faults start within the given time. */
+  static Schedule draw(long seed, long millis, int instances, int engines, int replicas) {
+    return new Drawing(new Random(seed), millis, instances, engines, replicas).draw();
+  }
+
+  /** Draws the series one after the other. Not thread-safe. */
+  private static final class Drawing {
+    private final Random random;
+    private final long endMillis;
+    private final int instances;
+    private final int engines;
+    private final int replicas;
+    private final List<Entry> entries = new ArrayList<>();
+    private long millis = FIRST_MILLIS;
+
+    Drawing(Random random, long endMillis, int instances, int engines, int replicas) {
+      this.random = random;
+      this.endMillis = endMillis;
+      this.instances = instances;
+      this.engines = engines;
+      this.replicas = replicas;
+    }
+
+    Schedule draw() {
+      versions();
+      while (millis < endMillis) {
+        switch (random.nextInt(15)) {
+          case 0, 1, 2, 3 -> versions();
+          case 4, 5, 6, 7 -> restarts();
+          case 8, 9 -> pauses();
+          case 10, 11 -> storeFaults();
+          case 12 -> configurations();
+          default -> replicaFaults();
+        }
+        millis += between(MIN_GAP_MILLIS, MAX_GAP_MILLIS);
+      }
+      entries.removeIf(entry -> entry.atMillis() >= endMillis);
+      entries.sort(Comparator.comparingLong(Entry::atMillis));
+      return new Schedule(List.copyOf(entries));
+    }
+
+    private long between(long low, long high) {
+      return low + random.nextLong(high - low);
+    }
+
+    private void add(long afterMillis, Fault fault) {
+      entries.add(new Entry(millis + afterMillis, fault));
+    }
+
+    /** Several versions in succession, while some or all engines do not carry out orders. */
+    private void versions() {
+      OrderBehaviour[] behaviours = OrderBehaviour.values();
+      OrderBehaviour common = behaviours[random.nextInt(behaviours.length)];
+      int withholding = random.nextBoolean() ? engines : random.nextInt(engines);
+      long duration = between(2_000, 14_000);
+      for (int engine = 0; engine < withholding; engine++) {
+        OrderBehaviour behaviour =
+            random.nextInt(3) > 0 ? common : behaviours[random.nextInt(behaviours.length)];
+        add(0, new Fault.WithholdOrders(engine, behaviour, duration + between(0, 1_000)));
+      }
+      long at = 100;
+      for (int i = random.nextInt(3); i >= 0; i--) {
+        add(at, new Fault.RequestVersion());
+        at += between(100, 1_500);
+      }
+    }
+
+    private Fault restart(int instance) {
+      String signal = random.nextInt(5) < 3 ? "TERM" : "KILL";
+      return new Fault.Restart(instance, signal, random.nextBoolean() ? 0 : between(0, 1_500));
+    }
+
+    /** Restarts of one instance, of one twice, of several or of all, together or one by one. */
+    private void restarts() {
+      int first = random.nextInt(instances);
+      switch (random.nextInt(5)) {
+        case 0 -> add(0, restart(first));
+        case 1 -> {
+          add(0, restart(first));
+          add(between(0, 6_000), restart(first));
+        }
+        case 2 -> {
+          long gap = between(500, 3_000);
+          for (int i = 0; i < instances; i++) {
+            add(i * gap, restart((first + i) % instances));
+          }
+        }
+        case 3 -> {
+          for (int i = 0; i < instances - 1; i++) {
+            add(between(0, 500), restart((first + i) % instances));
+          }
+        }
+        default -> {
+          for (int i = 0; i < instances; i++) {
+            add(0, restart(i));
+          }
+        }
+      }
+    }
+
+    private void pauses() {
+      int first = random.nextInt(instances);
+      for (int i = random.nextInt(2); i >= 0; i--) {
+        add(between(0, 1_000), new Fault.Pause((first + i) % instances, between(200, 5_000)));
+      }
+    }
+
+    private void storeFaults() {
+      long duration = between(300, 6_000);
+      Fault.Impairment[] kinds = Fault.Impairment.values();
+      Fault.Impairment kind = kinds[random.nextInt(kinds.length)];
+      switch (random.nextInt(4)) {
+        case 0 -> add(0, new Fault.StoreDown(duration));
+        case 1 -> {
+          for (int i = 0; i < instances; i++) {
+            add(0, new Fault.ImpairLink(i, kind, duration));
+          }
+        }
+        default -> add(0, new Fault.ImpairLink(random.nextInt(instances), kind, duration));
+      }
+      if (random.nextBoolean()) {
+        add(between(0, duration), new Fault.RequestVersion());
+      }
+    }
+
+    private void configurations() {
+      for (int i = random.nextInt(4); i >= 0; i--) {
+        add(between(0, 1_000), new Fault.Configure());
+      }
+    }
+
+    private void replicaFaults() {
+      Behaviour[] behaviours = {
+        Behaviour.REFUSE, Behaviour.LOSE_ANSWER, Behaviour.FAIL, Behaviour.CUT_STREAM
+      };
+      for (int i = random.nextInt(3); i >= 0; i--) {
+        int replica = random.nextInt(replicas);
+        long duration = between(300, 3_000);
+        Behaviour behaviour = behaviours[random.nextInt(behaviours.length)];
+        switch (random.nextInt(3)) {
+          case 0 -> add(between(0, 1_000), new Fault.DropConnections(replica));
+          case 1 -> add(between(0, 1_000), new Fault.Misbehave(replica, behaviour, duration));
+          default -> add(0, new Fault.SlowDown(random.nextInt(engines), duration));
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -0,0 +1,281 @@
+package org.bulrushpier.rig.soak;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.bulrushpier.Address;
+import org.bulrushpier.adapter.StoreFormat;
+import org.bulrushpier.rig.Faults;
+import org.bulrushpier.rig.gateway.CallerFake;
+import org.bulrushpier.rig.gateway.MetadataStoreFake;
+import org.bulrushpier.rig.gateway.ReplicaFake;
+import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
+import org.bulrushpier.rig.gateway.ReplicaFake.Pace;
+import org.bulrushpier.rig.proxy.ProxyLink;
+import org.bulrushpier.rig.site.Launcher;
+
+/**
+ * The instances of a soak, the fakes around them, and the faults that are injected into them.
+ *
+ * <p>The instances of a run have loopback addresses of their own, so that neither another run nor
+ * an outgoing connection takes the port of an instance that is not running. Thread-safe.
+ */
+final class SoakSite implements Closeable {
+
+  /** The number of instances. */
+  static final int INSTANCES = 4;
+
+  /** The number of engines. */
+  static final int ENGINES = 8;
+
+  /** The number of replicas: engines and plain services. */
+  static final int REPLICAS = ENGINES + 2;
+
+  /** The time within which a new version of the weights must be in place, in milliseconds. */
+  static final long CHANGE_MILLIS = 4_000;
+
+  /** The time that an instance has from SIGTERM to its end, in seconds. */
+  static final int SHUTDOWN_SECONDS = 8;
+
+  private static final int SLOTS = 6;
+  private static final Pace PACE = new Pace(40, 25, 250);
+  private static final Pace SLOW_PACE = new Pace(400, 100, 250);
+  private static final long REGISTRATION_MILLIS = 100;
+  private static final int LOOPBACK_NETS = 250;
+
+  private final Observer observer;
+  private final MetadataStoreFake store;
+  private final List<ReplicaFake> replicas = new ArrayList<>();
+  private final List<Instance> instances = new ArrayList<>();
+  private final List<ProxyLink> links = new ArrayList<>();
+  private final List<Thread> threads = new ArrayList<>();
+  private final Map<String, String> keys = new TreeMap<>();
+  private int configuration;
+  private int version = 1;
+  private int storeOutages;
+
+  private SoakSite(Observer observer) throws IOException {
+    this.observer = observer;
+    store = MetadataStoreFake.start();
+    for (String customer : List.of("ate", "barranco", "comas")) {
+      keys.put(customer, "key-" + customer);
+    }
+  }
+
+  /** Starts the fakes and the instances; each becomes ready by itself. */
+  static SoakSite start(Launcher launcher, Observer observer) throws IOException {
+    SoakSite site = new SoakSite(observer);
+    site.configure();
+    for (int i = 0; i < REPLICAS; i++) {
+      String id = i < ENGINES ? "engine-" + i : "plain-" + i;
+      ReplicaFake replica = ReplicaFake.start(id, SLOTS, observer::executionStarts);
+      replica.setPace(PACE);
+      site.replicas.add(replica);
+    }
+    site.store.requestWeights(site.version);
+    site.run(site::keepRegistered);
+    site.startInstances(launcher);
+    return site;
+  }
+
+  private void run(Runnable task) {
+    threads.add(Thread.ofVirtual().start(task));
+  }
+
+  private void startInstances(Launcher launcher) throws IOException {
+    long process = ProcessHandle.current().pid();
+    String net =
+        "127.%d.%d."
+            .formatted(1 + process / LOOPBACK_NETS % LOOPBACK_NETS, process % LOOPBACK_NETS);
+    int fleetPort;
+    try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(net + 1, 0))) {
+      fleetPort = socket.getLocalPort();
+    }
+    String seeds =
+        IntStream.rangeClosed(1, INSTANCES)
+            .mapToObj(i -> net + i + ":" + fleetPort)
+            .collect(Collectors.joining(","));
+    for (int i = 1; i <= INSTANCES; i++) {
+      String name = "gateway-" + i;
+      ProxyLink link = ProxyLink.open(store.address());
+      links.add(link);
+      List<Address> free = freeAddresses(net + i);
+      Path settings = launcher.directory().resolve(name + ".ini");
+      Files.writeString(
+          settings,
+          """
+          [gateway]
+          name = %s
+          domain = %s
+          caller-address = %s
+          ready-address = %s
+          metrics-address = %s
+          platform-address = %s
+          fleet-address = %s
+          seeds = %s
+          shutdown-seconds = %d
+          retry-minimum = 80
+          order-lease-ms = 1000
+          weights-change-ms = %d
+          """
+              .formatted(
+                  name,
+                  i % 2 == 0 ? "norte" : "sur",
+                  free.get(0),
+                  free.get(1),
+                  free.get(2),
+                  link.address(),
+                  new Address(net + i, fleetPort),
+                  seeds,
+                  SHUTDOWN_SECONDS,
+                  CHANGE_MILLIS));
+      String command = "org.bulrushpier.daemon.Main gateway --settings " + settings;
+      Instance instance = new Instance(launcher, name, command, free.get(0), free.get(1), link);
+      instances.add(instance);
+      instance.start();
+      run(instance::pollReadiness);
+    }
+  }
+
+  /** Returns three different free addresses of a host. */
+  private static List<Address> freeAddresses(String host) throws IOException {
+    InetAddress address = InetAddress.getByName(host);
+    try (ServerSocket first = new ServerSocket(0, 1, address);
+        ServerSocket second = new ServerSocket(0, 1, address);
+        ServerSocket third = new ServerSocket(0, 1, address)) {
+      return Stream.of(first, second, third)
+          .map(socket -> new Address(host, socket.getLocalPort()))
+          .toList();
+    }
+  }
+
+  /** Registers replicas whose entries have changed, until the thread is interrupted. */
+  private void keepRegistered() {
+    while (!Thread.currentThread().isInterrupted()) {
+      for (int i = 0; i < REPLICAS; i++) {
+        try {
+          store.register(replicas.get(i), i < ENGINES ? "engines" : "plain");
+        } catch (IOException e) {
+          throw new IllegalStateException(e);
+        }
+      }
+      Faults.sleep(REGISTRATION_MILLIS);
+    }
+  }
+
+  List<Instance> instances() {
+    return instances;
+  }
+
+  /** Returns the key of each customer. */
+  Map<String, String> keys() {
+    return keys;
+  }
+
+  /** Returns the newest requested version of the weights. */
+  synchronized int version() {
+    return version;
+  }
+
+  /** Returns the engines that serve another version than the newest one. */
+  List<String> outdatedEngines() {
+    int newest = version();
+    return replicas.stream()
+        .limit(ENGINES)
+        .filter(engine -> engine.version() != newest)
+        .map(engine -> engine.id() + " with " + engine.version())
+        .toList();
+  }
+
+  /** Plays a fault and returns when it has ended. */
+  void play(Fault fault) {
+    switch (fault) {
+      case Fault.RequestVersion request -> requestVersion();
+      case Fault.Configure change -> configure();
+      case Fault.WithholdOrders f ->
+          replicas.get(f.engine()).setOrderBehaviour(f.behaviour(), f.millis());
+      case Fault.Restart f -> instances.get(f.instance()).restart(f.signal(), f.downMillis());
+      case Fault.Pause f -> instances.get(f.instance()).pause(f.millis());
+      case Fault.StoreDown f -> {
+        changeOutages(1);
+        Faults.sleep(f.millis());
+        changeOutages(-1);
+      }
+      case Fault.ImpairLink f -> instances.get(f.instance()).impairLink(f.impairment(), f.millis());
+      case Fault.Misbehave f -> {
+        ReplicaFake replica = replicas.get(f.replica());
+        replica.setBehaviour(f.behaviour());
+        observer.replicaFaulty(replica.id(), f.millis());
+        Faults.sleep(f.millis());
+        replica.setBehaviour(Behaviour.ANSWER);
+      }
+      case Fault.SlowDown f -> {
+        replicas.get(f.engine()).setPace(SLOW_PACE);
+        Faults.sleep(f.millis());
+        replicas.get(f.engine()).setPace(PACE);
+      }
+      case Fault.DropConnections f -> {
+        observer.replicaFaulty(replicas.get(f.replica()).id(), 0);
+        replicas.get(f.replica()).dropConnections();
+      }
+    }
+  }
+
+  private synchronized void changeOutages(int change) {
+    storeOutages += change;
+    instances.forEach(instance -> instance.recordStoreOutage(change > 0));
+    store.setDown(storeOutages > 0);
+  }
+
+  private void requestVersion() {
+    while (!tryRequestVersion()) {
+      Faults.sleep(REGISTRATION_MILLIS);
+    }
+  }
+
+  private synchronized boolean tryRequestVersion() {
+    try {
+      if (!store.requestWeights(version + 1)) {
+        return false;
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    observer.versionRequested(++version);
+    return true;
+  }
+
+  private synchronized void configure() {
+    try {
+      store.put(
+          StoreFormat.CONFIGURATIONS, "main", CallerFake.configuration(++configuration, keys));
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    instances.forEach(instance -> instance.end(instance.run(), "KILL"));
+    threads.forEach(Thread::interrupt);
+    for (ProxyLink link : links) {
+      link.close();
+    }
+    for (ReplicaFake replica : replicas) {
+      replica.close();
+    }
+    store.close();
+  }
+}
