--- a/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
@@ -42,19 +42,30 @@
   /** The impairments of a link to the metadata store. */
   enum Impairment {
     /** Bytes in both directions are held back. */
-    SILENT,
+    SILENT(true, true),
     /** Bytes to the store are held back. */
-    CUT_TO_STORE,
+    CUT_TO_STORE(true, false),
     /** Bytes from the store are held back. */
-    CUT_FROM_STORE,
+    CUT_FROM_STORE(false, true),
     /** Each direction has an additional latency. */
-    SLOW,
+    SLOW(false, false),
     /** All connections are reset once. */
-    RESET;
+    RESET(false, false);
 
-    /** Returns whether the instance cannot reach the store meanwhile. */
-    boolean isCut() {
-      return this == SILENT || this == CUT_TO_STORE || this == CUT_FROM_STORE;
+    private final boolean cutsToStore;
+    private final boolean cutsFromStore;
+
+    Impairment(boolean cutsToStore, boolean cutsFromStore) {
+      this.cutsToStore = cutsToStore;
+      this.cutsFromStore = cutsFromStore;
+    }
+
+    boolean cutsToStore() {
+      return cutsToStore;
+    }
+
+    boolean cutsFromStore() {
+      return cutsFromStore;
     }
   }
 }
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -54,6 +54,7 @@
   private final Map<Integer, Integer> statuses = new TreeMap<>();
   private final AtomicLong executions = new AtomicLong();
   private final AtomicLong outdatedStarts = new AtomicLong();
+  private final AtomicLong answersAfterTermination = new AtomicLong();
 
   /** A call with what is known of its executions and its answer. Guarded by its own lock. */
   private static final class CallRecord {
@@ -136,8 +137,9 @@
       if (record.instance.isInContact(record.run)) {
         violated(
             Promise.VERSION,
-            "%s on version %d, whose successor was acknowledged %d ms ago"
-                .formatted(text, execution.version(), outdated));
+            "%s on version %d, whose successor was acknowledged %d ms ago; %s"
+                .formatted(
+                    text, execution.version(), outdated, record.instance.contact(record.run)));
       }
     }
   }
@@ -163,6 +165,9 @@
       }
       if (!answer.isWhole()) {
         checkTermination(record, answer, text);
+      } else if (record.beginMillis < record.run.terminatedMillis()
+          && record.run.terminatedMillis() < MonotonicClock.millis()) {
+        answersAfterTermination.incrementAndGet();
       }
     }
   }
@@ -244,4 +249,9 @@
   long outdatedStarts() {
     return outdatedStarts.get();
   }
+
+  /** Returns the number of calls in progress at SIGTERM that got a whole answer. */
+  long answersAfterTermination() {
+    return answersAfterTermination.get();
+  }
 }
