--- a/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
@@ -27,8 +27,11 @@
   /** The metadata store answers all calls with an error for some time. */
   record StoreDown(long millis) implements Fault {}
 
-  /** The link of an instance to the metadata store is impaired for some time. */
-  record ImpairLink(int instance, Impairment impairment, long millis) implements Fault {}
+  /** Bytes to or from the metadata store are held back or delayed for some time. */
+  record ImpairLink(int instance, LinkFault link, long millis) implements Fault {}
+
+  /** The connections of an instance to the metadata store are reset. */
+  record ResetLink(int instance) implements Fault {}
 
   /** A replica handles calls in the given way for some time. */
   record Misbehave(int replica, Behaviour behaviour, long millis) implements Fault {}
@@ -39,33 +42,6 @@
   /** A replica closes all its connections. */
   record DropConnections(int replica) implements Fault {}
 
-  /** The impairments of a link to the metadata store. */
-  enum Impairment {
-    /** Bytes in both directions are held back. */
-    SILENT(true, true),
-    /** Bytes to the store are held back. */
-    CUT_TO_STORE(true, false),
-    /** Bytes from the store are held back. */
-    CUT_FROM_STORE(false, true),
-    /** Each direction has an additional latency. */
-    SLOW(false, false),
-    /** All connections are reset once. */
-    RESET(false, false);
-
-    private final boolean cutsToStore;
-    private final boolean cutsFromStore;
-
-    Impairment(boolean cutsToStore, boolean cutsFromStore) {
-      this.cutsToStore = cutsToStore;
-      this.cutsFromStore = cutsFromStore;
-    }
-
-    boolean cutsToStore() {
-      return cutsToStore;
-    }
-
-    boolean cutsFromStore() {
-      return cutsFromStore;
-    }
-  }
+  /** What happens to the bytes between an instance and the metadata store. */
+  record LinkFault(boolean cutsToStore, boolean cutsFromStore, boolean delays) {}
 }
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Instance.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Instance.java
@@ -187,23 +187,24 @@
     storeAwayUntilMillis = MonotonicClock.millis();
   }
 
-  /** Impairs the link to the store for some time. */
-  void impairLink(Fault.Impairment impairment, long millis) {
-    if (impairment == Fault.Impairment.RESET) {
-      storeLink.setImpairments(new ProxyLink.Impairments(false, false, true, 0, 0));
-    } else {
-      impair(impairment, 1);
-      Faults.sleep(millis);
-      impair(impairment, -1);
-    }
+  /** Resets the connections to the store. */
+  synchronized void resetLink() {
+    storeLink.setImpairments(new ProxyLink.Impairments(false, false, true, 0, 0));
     applyImpairments();
   }
 
-  private synchronized void impair(Fault.Impairment impairment, int change) {
-    cutsToStore += impairment.cutsToStore() ? change : 0;
-    cutsFromStore += impairment.cutsFromStore() ? change : 0;
-    slowLinks += impairment == Fault.Impairment.SLOW ? change : 0;
-    if (impairment != Fault.Impairment.SLOW) {
+  /** Impairs the link to the store for some time. */
+  void impairLink(Fault.LinkFault fault, long millis) {
+    impair(fault, 1);
+    Faults.sleep(millis);
+    impair(fault, -1);
+  }
+
+  private synchronized void impair(Fault.LinkFault fault, int change) {
+    cutsToStore += fault.cutsToStore() ? change : 0;
+    cutsFromStore += fault.cutsFromStore() ? change : 0;
+    slowLinks += fault.delays() ? change : 0;
+    if (fault.cutsToStore() || fault.cutsFromStore()) {
       recordStoreOutage(change > 0);
     }
     applyImpairments();
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.gateway.CallerFake.Answer;
@@ -51,10 +50,7 @@
   private final Map<Integer, Long> requestedMillis = new ConcurrentHashMap<>();
   private final Map<String, Long> faultyUntilMillis = new ConcurrentHashMap<>();
   private final Map<Promise, List<String>> violations = new TreeMap<>();
-  private final Map<Integer, Integer> statuses = new TreeMap<>();
-  private final AtomicLong executions = new AtomicLong();
-  private final AtomicLong outdatedStarts = new AtomicLong();
-  private final AtomicLong answersAfterTermination = new AtomicLong();
+  private final Map<String, Integer> counts = new TreeMap<>();
 
   /** A call with what is known of its executions and its answer. Guarded by its own lock. */
   private static final class CallRecord {
@@ -101,7 +97,7 @@
 
   /** Checks an execution at its start. */
   void executionStarts(Execution execution) {
-    executions.incrementAndGet();
+    count("executions");
     CallRecord record = calls.get(execution.requestId());
     if (record == null) {
       violated(Promise.ANSWER, "unknown call " + execution.requestId() + " was executed");
@@ -133,7 +129,7 @@
     }
     long outdated = MonotonicClock.millis() - successorMillis;
     if (outdated > SoakSite.CHANGE_MILLIS) {
-      outdatedStarts.incrementAndGet();
+      count("outdatedStarts");
       if (record.instance.isInContact(record.run)) {
         violated(
             Promise.VERSION,
@@ -147,9 +143,7 @@
   /** Checks what the caller of a call received. */
   void callEnds(Call call, Answer answer) {
     CallRecord record = calls.get(call.id());
-    synchronized (statuses) {
-      statuses.merge(answer.isWhole() ? answer.status() : -answer.status(), 1, Integer::sum);
-    }
+    count((answer.isWhole() ? "answered" : "cutOff") + answer.status());
     synchronized (record) {
       String text = record.text();
       if (answer.isWhole() && (answer.status() == 503 || answer.status() == 429)) {
@@ -167,7 +161,7 @@
         checkTermination(record, answer, text);
       } else if (record.beginMillis < record.run.terminatedMillis()
           && record.run.terminatedMillis() < MonotonicClock.millis()) {
-        answersAfterTermination.incrementAndGet();
+        count("answersAfterTermination");
       }
     }
   }
@@ -216,42 +210,35 @@
   /** Records a violation. */
   void violated(Promise promise, String text) {
     log.accept("VIOLATION " + promise + ": " + text);
+    count("violated" + promise);
     synchronized (violations) {
       violations.computeIfAbsent(promise, p -> new ArrayList<>()).add(text);
     }
   }
 
   /** Returns the violations so far by promise. */
-  Map<Promise, List<String>> violations() {
+  Map<String, List<String>> violations() {
     synchronized (violations) {
-      Map<Promise, List<String>> copy = new TreeMap<>();
-      violations.forEach((promise, texts) -> copy.put(promise, List.copyOf(texts)));
+      Map<String, List<String>> copy = new TreeMap<>();
+      violations.forEach((promise, texts) -> copy.put(promise.name(), List.copyOf(texts)));
       return copy;
     }
   }
 
-  /**
-   * Returns the number of answers by status; those that were cut off have the negative status, and
-   * 0 if nothing was received.
-   */
-  Map<Integer, Integer> statuses() {
-    synchronized (statuses) {
-      return new TreeMap<>(statuses);
+  private void count(String name) {
+    synchronized (counts) {
+      counts.merge(name, 1, Integer::sum);
     }
   }
 
-  /** Returns the number of executions. */
-  long executions() {
-    return executions.get();
-  }
-
-  /** Returns the number of generations that started too late, at any instance. */
-  long outdatedStarts() {
-    return outdatedStarts.get();
-  }
-
-  /** Returns the number of calls in progress at SIGTERM that got a whole answer. */
-  long answersAfterTermination() {
-    return answersAfterTermination.get();
+  /**
+   * Returns the number of executions; of generations that started on outdated weights, also if the
+   * instance had just started or could not reach the store; of calls in progress at SIGTERM that
+   * got a whole answer; and of answers that were whole or cut off, by status, 0 being none.
+   */
+  Map<String, Integer> counts() {
+    synchronized (counts) {
+      return new TreeMap<>(counts);
+    }
   }
 }
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -105,27 +105,20 @@
     private void restarts() {
       int first = random.nextInt(instances);
       switch (random.nextInt(5)) {
-        case 0 -> add(0, restart(first));
+        case 0 -> restartAll(first, 1, 0);
         case 1 -> {
-          add(0, restart(first));
+          restartAll(first, 1, 0);
           add(between(0, 6_000), restart(first));
         }
-        case 2 -> {
-          long gap = between(500, 3_000);
-          for (int i = 0; i < instances; i++) {
-            add(i * gap, restart((first + i) % instances));
-          }
-        }
-        case 3 -> {
-          for (int i = 0; i < instances - 1; i++) {
-            add(between(0, 500), restart((first + i) % instances));
-          }
-        }
-        default -> {
-          for (int i = 0; i < instances; i++) {
-            add(0, restart(i));
-          }
-        }
+        case 2 -> restartAll(first, instances, between(500, 3_000));
+        case 3 -> restartAll(first, instances - 1, between(1, 500));
+        default -> restartAll(first, instances, 0);
+      }
+    }
+
+    private void restartAll(int first, int count, long gapMillis) {
+      for (int i = 0; i < count; i++) {
+        add(i * gapMillis, restart((first + i) % instances));
       }
     }
 
@@ -138,16 +131,19 @@
 
     private void storeFaults() {
       long duration = between(300, 6_000);
-      Fault.Impairment[] kinds = Fault.Impairment.values();
-      Fault.Impairment kind = kinds[random.nextInt(kinds.length)];
-      switch (random.nextInt(4)) {
+      boolean cutsToStore = random.nextBoolean();
+      boolean cutsFromStore = random.nextBoolean();
+      Fault.LinkFault link =
+          new Fault.LinkFault(cutsToStore, cutsFromStore, !cutsToStore && !cutsFromStore);
+      int first = random.nextInt(instances);
+      switch (random.nextInt(5)) {
         case 0 -> add(0, new Fault.StoreDown(duration));
-        case 1 -> {
-          for (int i = 0; i < instances; i++) {
-            add(0, new Fault.ImpairLink(i, kind, duration));
+        case 1 -> add(0, new Fault.ResetLink(first));
+        default -> {
+          for (int i = random.nextBoolean() ? instances : 1; i > 0; i--) {
+            add(0, new Fault.ImpairLink((first + i) % instances, link, duration));
           }
         }
-        default -> add(0, new Fault.ImpairLink(random.nextInt(instances), kind, duration));
       }
       if (random.nextBoolean()) {
         add(between(0, duration), new Fault.RequestVersion());
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Soak.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Soak.java
@@ -7,8 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.Faults;
 import org.bulrushpier.rig.gateway.CallerFake.Route;
@@ -42,27 +42,26 @@
    * What a soak saw. Immutable and thread-safe.
    *
    * @param seed the seed
-   * @param seconds the duration of the faults, in seconds
    * @param faults the number of faults
    * @param versions the newest version of the weights
-   * @param executions the number of executions at replicas
-   * @param outdatedStarts the number of generations that started on outdated weights, including
-   *     those sent by instances that had just started or could not reach the store
-   * @param answersAfterTermination the number of calls in progress at SIGTERM that got a whole
-   *     answer
-   * @param statuses the number of answers by status, negative if the answer was cut off
+   * @param counts the counts of executions and answers
    * @param violations the violations by promise
    */
   public record Result(
       long seed,
-      int seconds,
       int faults,
       int versions,
-      long executions,
-      long outdatedStarts,
-      long answersAfterTermination,
-      Map<Integer, Integer> statuses,
-      Map<String, List<String>> violations) {}
+      Map<String, Integer> counts,
+      Map<String, List<String>> violations) {
+
+    /** Returns the result with only the first violations of each promise. */
+    Result shortened(int count) {
+      Map<String, List<String>> first = new TreeMap<>();
+      violations.forEach(
+          (promise, texts) -> first.put(promise, texts.subList(0, Math.min(count, texts.size()))));
+      return new Result(seed, faults, versions, counts, first);
+    }
+  }
 
   private Soak(Launcher launcher) throws IOException {
     log = new PrintWriter(Files.newBufferedWriter(launcher.directory().resolve("soak.log")), true);
@@ -80,10 +79,19 @@
    * @throws IOException if the fakes cannot be started
    */
   public static Result run(Launcher launcher, long seed, int seconds) throws IOException {
+    return play(
+        launcher,
+        seed,
+        Schedule.draw(
+            seed, seconds * 1_000L, SoakSite.INSTANCES, SoakSite.ENGINES, SoakSite.REPLICAS));
+  }
+
+  /** Runs a soak with the given faults; the seed determines the calls. */
+  static Result play(Launcher launcher, long seed, Schedule schedule) throws IOException {
     Soak soak = new Soak(launcher);
     try (soak.log;
         soak.site) {
-      return soak.playAndCheck(seed, seconds);
+      return soak.playAndCheck(seed, schedule);
     }
   }
 
@@ -91,7 +99,7 @@
     log.println(Instant.now() + " " + text);
   }
 
-  private Result playAndCheck(long seed, int seconds) throws IOException {
+  private Result playAndCheck(long seed, Schedule schedule) throws IOException {
     if (!await(this::isReady, START_TIMEOUT_MILLIS)) {
       throw new IllegalStateException("not all instances became ready");
     }
@@ -102,25 +110,13 @@
       clients.add(client);
       threads.add(Thread.ofVirtual().start(client));
     }
-    Schedule schedule =
-        Schedule.draw(
-            seed, seconds * 1_000L, SoakSite.INSTANCES, SoakSite.ENGINES, SoakSite.REPLICAS);
-    play(schedule);
+    playFaults(schedule);
     log("all faults have ended");
     checkRecovery();
     clients.forEach(Client::stop);
     join(threads);
     return new Result(
-        seed,
-        seconds,
-        schedule.entries().size(),
-        site.version(),
-        observer.executions(),
-        observer.outdatedStarts(),
-        observer.answersAfterTermination(),
-        observer.statuses(),
-        observer.violations().entrySet().stream()
-            .collect(Collectors.toMap(entry -> entry.getKey().name(), Map.Entry::getValue)));
+        seed, schedule.entries().size(), site.version(), observer.counts(), observer.violations());
   }
 
   private boolean isReady() {
@@ -138,7 +134,7 @@
     return true;
   }
 
-  private void play(Schedule schedule) {
+  private void playFaults(Schedule schedule) {
     long start = MonotonicClock.millis();
     List<Thread> threads = new ArrayList<>();
     for (Schedule.Entry entry : schedule.entries()) {
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakCommand.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakCommand.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import org.bulrushpier.Codec;
 import org.bulrushpier.rig.site.Launcher;
@@ -15,8 +13,8 @@
     name = "soak",
     description = {
       "Runs several instances of the gateway under faults drawn from a seed and checks what",
-      "callers and replicas see. Prints one JSON line, and the first violations of each promise on",
-      "the standard error stream; exits with 1 if there were any."
+      "callers and replicas see. Prints one JSON line with counts and the first violations of each",
+      "promise; exits with 1 if there were any."
     },
     mixinStandardHelpOptions = true)
 public final class SoakCommand implements Callable<Integer> {
@@ -32,42 +30,11 @@
   /** Creates the command. */
   public SoakCommand() {}
 
-  private record Line(
-      long seed,
-      int seconds,
-      int faults,
-      int versions,
-      long executions,
-      long outdatedStarts,
-      long answersAfterTermination,
-      Map<Integer, Integer> statuses,
-      Map<String, Integer> violations) {}
-
   @Override
   public Integer call() throws IOException {
     Soak.Result result = Soak.run(Launcher.fromSystemProperty(), seed, seconds);
-    Map<String, Integer> counts = new TreeMap<>();
-    result
-        .violations()
-        .forEach(
-            (promise, texts) -> {
-              counts.put(promise, texts.size());
-              texts.stream()
-                  .limit(PRINTED_VIOLATIONS)
-                  .forEach(text -> System.err.println(promise + ": " + text));
-            });
-    Line line =
-        new Line(
-            result.seed(),
-            result.seconds(),
-            result.faults(),
-            result.versions(),
-            result.executions(),
-            result.outdatedStarts(),
-            result.answersAfterTermination(),
-            result.statuses(),
-            counts);
-    System.out.println(new String(Codec.json().write(line), StandardCharsets.UTF_8));
-    return counts.isEmpty() ? 0 : 1;
+    byte[] line = Codec.json().write(result.shortened(PRINTED_VIOLATIONS));
+    System.out.println(new String(line, StandardCharsets.UTF_8));
+    return result.violations().isEmpty() ? 0 : 1;
   }
 }
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -213,7 +213,8 @@
         Faults.sleep(f.millis());
         changeOutages(-1);
       }
-      case Fault.ImpairLink f -> instances.get(f.instance()).impairLink(f.impairment(), f.millis());
+      case Fault.ImpairLink f -> instances.get(f.instance()).impairLink(f.link(), f.millis());
+      case Fault.ResetLink f -> instances.get(f.instance()).resetLink();
       case Fault.Misbehave f -> {
         ReplicaFake replica = replicas.get(f.replica());
         replica.setBehaviour(f.behaviour());
