--- a/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -41,6 +41,8 @@
     CUSTOMER,
     /** SIGTERM cuts off no call in progress. */
     TERMINATION,
+    /** No call is cut off without a fault that explains it. */
+    CUT_OFF,
     /** After all faults, every engine serves the newest version and calls are answered. */
     RECOVERY
   }
@@ -127,9 +129,10 @@
     if (successorMillis == null) {
       return;
     }
+    count("outdated");
     long outdated = MonotonicClock.millis() - successorMillis;
     if (outdated > SoakSite.CHANGE_MILLIS) {
-      count("outdatedStarts");
+      count("outdatedTooLong");
       if (record.instance.isInContact(record.run)) {
         violated(
             Promise.VERSION,
@@ -158,7 +161,7 @@
         checkContent(call, answer, text);
       }
       if (!answer.isWhole()) {
-        checkTermination(record, answer, text);
+        checkCutOff(record, answer, text);
       } else if (record.beginMillis < record.run.terminatedMillis()
           && record.run.terminatedMillis() < MonotonicClock.millis()) {
         count("answersAfterTermination");
@@ -183,27 +186,24 @@
     }
   }
 
-  /** Checks that a call without a whole answer was not cut off by SIGTERM alone. */
-  private void checkTermination(CallRecord record, Answer answer, String text) {
+  /** Checks that a call without a whole answer was cut off by a fault other than SIGTERM. */
+  private void checkCutOff(CallRecord record, Answer answer, String text) {
     long now = MonotonicClock.millis();
     long terminated = record.run.terminatedMillis();
-    boolean isCutOff =
-        record.beginMillis < terminated
-            && now >= terminated
-            && now - terminated < GRACE_MILLIS
-            && now - record.beginMillis < record.call.waitMillis() - DEADLINE_MARGIN_MILLIS
-            && !record.run.isKilled()
-            && !record.instance.wasPausedSince(record.beginMillis)
-            && record.executions.stream()
-                .noneMatch(
+    boolean hasCause =
+        record.run.isKilled()
+            || record.instance.wasPausedSince(record.beginMillis)
+            || now - record.beginMillis > record.call.waitMillis() - DEADLINE_MARGIN_MILLIS
+            || record.executions.stream()
+                .anyMatch(
                     execution ->
                         faultyUntilMillis.getOrDefault(execution.replica(), Long.MIN_VALUE)
                             >= record.beginMillis);
-    if (isCutOff) {
-      violated(
-          Promise.TERMINATION,
-          "%s was cut off %d ms after SIGTERM: %s, executed by [%s]"
-              .formatted(text, now - terminated, answer.detail(), replicas(record)));
+    String detail = text + ": " + answer.detail() + ", executed by [" + replicas(record) + "]";
+    if (!hasCause && terminated == Long.MAX_VALUE) {
+      violated(Promise.CUT_OFF, detail);
+    } else if (!hasCause && record.beginMillis < terminated && now - terminated < GRACE_MILLIS) {
+      violated(Promise.TERMINATION, detail + ", " + (now - terminated) + " ms after SIGTERM");
     }
   }
 
@@ -232,9 +232,9 @@
   }
 
   /**
-   * Returns the number of executions; of generations that started on outdated weights, also if the
-   * instance had just started or could not reach the store; of calls in progress at SIGTERM that
-   * got a whole answer; and of answers that were whole or cut off, by status, 0 being none.
+   * Returns the number of executions; of generations that started on outdated weights, also those
+   * that did so too late at instances out of contact; of calls in progress at SIGTERM that got a
+   * whole answer; and of answers that were whole or cut off, by status, 0 being none.
    */
   Map<String, Integer> counts() {
     synchronized (counts) {
--- a/rig/src/test/java/org/bulrushpier/rig/soak/SoakIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/soak/SoakIntegrationTest.java
@@ -32,7 +32,7 @@
     assertNoViolation(result, launcher);
     assertThat(result.versions()).isGreaterThan(10);
     assertThat(result.counts().get("answered200")).isGreaterThan(500);
-    assertThat(result.counts()).containsKeys("outdatedStarts", "answersAfterTermination");
+    assertThat(result.counts()).containsKeys("outdated", "answersAfterTermination");
   }
 
   /**
