--- /dev/null
+++ b/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
@@ -0,0 +1,125 @@
+package org.bulrushpier.rig.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.bulrushpier.rig.gateway.CallerFake.Answer;
+import org.bulrushpier.rig.gateway.CallerFake.Call;
+import org.bulrushpier.rig.gateway.CallerFake.Route;
+import org.bulrushpier.rig.gateway.ReplicaFake.Execution;
+import org.bulrushpier.rig.soak.Observer.Promise;
+import org.junit.jupiter.api.Test;
+
+/** Tests that the checks of a soak find violations, and only those. */
+class ObserverTest {
+
+  private final Observer observer = new Observer(text -> {});
+  private final Instance instance = new Instance(null, "gateway-1", "", null, null, null);
+
+  private Call begin(Route route) {
+    Call call = new Call("c1", route, "key-ate", 1, 2, 6_000);
+    observer.callBegins(call, "ate", instance, new Instance.Run(1));
+    return call;
+  }
+
+  private void execute(String customer) {
+    observer.executionStarts(
+        new Execution("r1", 1, "/", Map.of("attempt-id", "c1", "tenant", customer), ""));
+  }
+
+  private static Answer answer(int status, String body) {
+    return new Answer(status, "c1", body, true, "");
+  }
+
+  private void assertViolated(Promise promise) {
+    assertThat(observer.violations()).containsOnlyKeys(promise.name());
+  }
+
+  @Test
+  void answeredCallsViolateNothing() {
+    Call once = begin(Route.ONCE);
+    execute("ate");
+    observer.callEnds(once, answer(200, "done"));
+    Call stream = begin(Route.STREAM);
+    execute("ate");
+    execute("ate");
+    observer.callEnds(stream, answer(200, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"));
+    observer.callEnds(begin(Route.ONCE), answer(503, ""));
+
+    assertThat(observer.violations()).isEmpty();
+  }
+
+  @Test
+  void secondExecutionIsFound() {
+    begin(Route.ONCE);
+    execute("ate");
+    execute("ate");
+
+    assertViolated(Promise.ONCE);
+  }
+
+  @Test
+  void refusalAfterExecutionIsFound() {
+    Call call = begin(Route.SAFE);
+    execute("ate");
+    observer.callEnds(call, answer(503, ""));
+
+    assertViolated(Promise.REFUSED);
+  }
+
+  @Test
+  void executionAfterRefusalIsFound() {
+    observer.callEnds(begin(Route.SAFE), answer(429, ""));
+    execute("ate");
+
+    assertViolated(Promise.REFUSED);
+  }
+
+  @Test
+  void incompleteOrRepeatedEventsAreFound() {
+    assertThat(answer(200, "id: 1\ndata: 1\n\n").streamError(2)).isNotEmpty();
+    String repeated = "id: 1\ndata: 1\n\nid: 1\ndata: 1\n\n";
+    assertThat(new Answer(200, "c1", repeated, false, "").streamError(2)).isNotEmpty();
+    String cutOff = "id: 1\ndata: 1\n\nid: 2\nda";
+    assertThat(new Answer(200, "c1", cutOff, false, "").streamError(2)).isEmpty();
+    observer.callEnds(begin(Route.NOTE), answer(200, "id: 2\ndata: 2\n\n"));
+
+    assertViolated(Promise.STREAM);
+  }
+
+  @Test
+  void otherCustomerIsFound() {
+    begin(Route.SAFE);
+    execute("comas");
+
+    assertViolated(Promise.CUSTOMER);
+  }
+
+  @Test
+  void answerOfAnotherCallIsFound() {
+    observer.callEnds(begin(Route.SAFE), new Answer(200, "c2", "done", true, ""));
+
+    assertViolated(Promise.ANSWER);
+  }
+
+  @Test
+  void cutOffIsFoundUnlessReplicaWasFaulty() {
+    Call call = begin(Route.NOTE);
+    execute("ate");
+    observer.callEnds(call, new Answer(200, "c1", "", false, "closed"));
+    assertViolated(Promise.CUT_OFF);
+
+    observer.replicaFaulty("r1", 0);
+    observer.callEnds(call, new Answer(200, "c1", "", false, "closed"));
+    assertThat(observer.violations().get(Promise.CUT_OFF.name())).hasSize(1);
+  }
+
+  @Test
+  void sameSeedDrawsSameFaults() {
+    Schedule schedule = Schedule.draw(7, 60_000, 4, 8, 10);
+
+    assertThat(schedule.entries()).hasSizeGreaterThan(50);
+    assertThat(Schedule.draw(7, 60_000, 4, 8, 10)).isEqualTo(schedule);
+    assertThat(Schedule.draw(8, 60_000, 4, 8, 10)).isNotEqualTo(schedule);
+  }
+}
