--- a/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -55,7 +55,7 @@
     Schedule draw() {
       versions();
       while (millis < endMillis) {
-        switch (random.nextInt(15)) {
+        switch (random.nextInt(17)) {
           case 0, 1, 2, 3 -> versions();
           case 4, 5, 6, 7 -> restarts();
           case 8, 9 -> pauses();
@@ -161,7 +161,10 @@
         Behaviour.REFUSE, Behaviour.LOSE_ANSWER, Behaviour.FAIL, Behaviour.CUT_STREAM
       };
       for (int i = random.nextInt(3); i >= 0; i--) {
-        int replica = random.nextInt(replicas);
+        int replica =
+            random.nextInt(3) > 0
+                ? random.nextInt(engines)
+                : engines + random.nextInt(replicas - engines);
         long duration = between(300, 3_000);
         Behaviour behaviour = behaviours[random.nextInt(behaviours.length)];
         switch (random.nextInt(3)) {
