Soak: a stall of the process with the replicas is measured and explains late answers

In a run of SoakIntegrationTest on a machine with load 46, soak.log has gaps of up to 3 s in which no fault was played and no stream went on; gateways then cut streams off as silent (CUT_OFF).

--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -86,6 +86,7 @@
     }
     site.store.requestWeights(site.version);
     site.run(site::keepRegistered);
+    site.run(observer::watchStalls);
     site.startInstances(launcher);
     return site;
   }
