--- /dev/null
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
@@ -0,0 +1,47 @@
+package org.bulrushpier.rig.soak;
+
+import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
+import org.bulrushpier.rig.gateway.ReplicaFake.OrderBehaviour;
+
+/**
+ * A fault or a change that a soak plays. Instances, engines and replicas are given by their index;
+ * the replicas are the engines followed by the plain services. Immutable and thread-safe.
+ */
+sealed interface Fault {
+
+  /** An operator requests the next version of the weights. */
+  record RequestVersion() implements Fault {}
+
+  /** An operator stores another version of the configuration. */
+  record Configure() implements Fault {}
+
+  /** An engine handles orders in the given way for some time. */
+  record WithholdOrders(int engine, OrderBehaviour behaviour, long millis) implements Fault {}
+
+  /** An instance gets the signal TERM or KILL and is started again some time after its end. */
+  record Restart(int instance, String signal, long downMillis) implements Fault {}
+
+  /** An instance is stopped and continued by signals. */
+  record Pause(int instance, long millis) implements Fault {}
+
+  /** The metadata store answers all calls with an error for some time. */
+  record StoreDown(long millis) implements Fault {}
+
+  /** Bytes to or from the metadata store are held back or delayed for some time. */
+  record ImpairLink(int instance, LinkFault link, long millis) implements Fault {}
+
+  /** The connections of an instance to the metadata store are reset. */
+  record ResetLink(int instance) implements Fault {}
+
+  /** A replica handles calls in the given way for some time. */
+  record Misbehave(int replica, Behaviour behaviour, long millis) implements Fault {}
+
+  /** An engine works slowly for some time. */
+  record SlowDown(int engine, long millis) implements Fault {}
+
+  /** A replica closes all its connections. */
+  record DropConnections(int replica) implements Fault {}
+
+  /** What happens to the bytes between an instance and the metadata store. */
+  record LinkFault(boolean cutsToStore, boolean cutsFromStore, boolean delays) {}
+}
--- a/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
@@ -6,6 +6,7 @@
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.GatewaySite.Instance;
 import org.bulrushpier.rig.gateway.ReplicaFake;
+import org.bulrushpier.rig.gateway.ReplicaFake.OrderBehaviour;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -16,12 +17,15 @@
  */
 class OutdatedWeightsIntegrationTest {
 
+  /** Longer than any test. */
+  private static final long ORDERS_IGNORED_MILLIS = 600_000;
+
   private GatewaySite site;
 
   @BeforeEach
   void start() throws Exception {
     site = GatewaySite.start();
-    site.engines().forEach(engine -> engine.ignoreOrders(true));
+    site.engines().forEach(OutdatedWeightsIntegrationTest::ignoreOrders);
   }
 
   @AfterEach
@@ -29,6 +33,14 @@
     site.close();
   }
 
+  private static void ignoreOrders(ReplicaFake engine) {
+    engine.setOrderBehaviour(OrderBehaviour.UNANSWERED, ORDERS_IGNORED_MILLIS);
+  }
+
+  private static void obeyOrders(ReplicaFake engine) {
+    engine.setOrderBehaviour(OrderBehaviour.PROMPT, 0);
+  }
+
   /** Sends generations for a while and returns how many the engines executed. */
   private int executedWithin(Instance instance, long millis) throws Exception {
     int before = site.executed();
@@ -111,7 +123,7 @@
   @Test
   void enginesThatLeaveOrdersUnansweredDoNotHoldUpOthers() throws Exception {
     List<ReplicaFake> answering = site.engines().subList(3, site.engines().size());
-    answering.forEach(engine -> engine.ignoreOrders(false));
+    answering.forEach(OutdatedWeightsIntegrationTest::obeyOrders);
     site.startInstances(1);
 
     site.requestVersion(2);
@@ -141,7 +153,7 @@
     Thread shutdown = Thread.ofVirtual().start(leaving::shutDown);
     Thread.sleep(300);
 
-    site.engines().subList(0, 3).forEach(engine -> engine.ignoreOrders(false));
+    site.engines().subList(0, 3).forEach(OutdatedWeightsIntegrationTest::obeyOrders);
     shutdown.join();
 
     assertThat(site.engines().subList(0, 3)).allMatch(engine -> engine.orders().size() == 1);
