A request that became obsolete before it was sent is not tried again at the same replica without end

What callers saw: in the soak, calls to plain services without an answer, and gateways that wrote 600 log lines a second: placed, not sent, placed again at once.

Cause: for a request without a prompt, the versions of its replica were judged when its connection opened, also where the replica was chosen without a look at versions, so the two decisions never agreed. In the recursion a start of an attempt could be cut short by an error; the attempt then stayed without a request, and each tick failed (NullPointerException in Attempt.cancel, 210 to 1,540 times in 20 s), so that the call never ended.

Change: only requests with a prompt are judged again; the replica of a request that was not sent counts as tried; an attempt whose start fails is forgotten.

Evidence: GatewayIntegrationTest.callsToPlainServicesDoNotDependOnWeights failed before (no answer within 5 s) and passes; OutdatedWeightsIntegrationTest passes.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -285,7 +285,22 @@
     attempt = new Attempt(replica, placement);
     long maxIdle =
         route.isRepeatable() ? ConnectionPool.ANY_IDLE_TIME : NON_REPEATABLE_MAX_IDLE_MILLIS;
-    attempt.start(remaining, maxIdle);
+    boolean isStarted = false;
+    try {
+      attempt.start(remaining, maxIdle);
+      isStarted = true;
+    } finally {
+      if (!isStarted) {
+        startFailed(replica);
+      }
+    }
+  }
+
+  /** Forgets an attempt whose start was cut short by an error, so that the request still ends. */
+  private void startFailed(Replica replica) {
+    replica.end(request.id());
+    mayHaveRun |= attempts > 0;
+    attempt = null;
   }
 
   /** Checks the request's deadline and the timeout of the current attempt. */
@@ -572,7 +587,7 @@
               prompt ->
                   weightPreference(prompt.model())
                       .allows(weightVersion, placement.expectedMillis()))
-          .orElseGet(() -> isEveryVersionAllowed(replica));
+          .orElse(true);
     }
 
     /** Returns how long the weights that the request was sent for have been outdated, in ms. */
@@ -856,6 +871,7 @@
       end();
       if (!outbound.isSent() && isObsolete()) {
         context.log().event("not-sent", "request", request.id(), "replica", replica.entry().id());
+        triedReplicas.add(replica.entry().id());
         place();
         return;
       }
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -27,6 +27,7 @@
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
 import org.bulrushpier.rig.gateway.ReplicaFake;
 import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
+import org.bulrushpier.rig.gateway.ReplicaFake.OrderBehaviour;
 import org.bulrushpier.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -440,6 +441,19 @@
     assertThat(execution.headers().get("cache-salt")).startsWith("m0/2/");
   }
 
+  /** The registry entries of these plain replicas list a model, whose weights are outdated. */
+  @Test
+  void callsToPlainServicesDoNotDependOnWeights() throws Exception {
+    replicas.forEach(replica -> replica.setOrderBehaviour(OrderBehaviour.UNANSWERED, 60_000));
+    metadataStore.put("versions", "m0", "{\"model\":\"m0\",\"version\":2}");
+    gateway.stop();
+    start(5_000);
+    Thread.sleep(2_500);
+
+    assertThat(status(request("/safe/a").timeout(Duration.ofSeconds(5)))).isEqualTo(200);
+    assertThat(status(generation("/stream/a"))).isEqualTo(503);
+  }
+
   @Test
   void metricsCountRequestsByOutcome() throws Exception {
     assertThat(send(request("/safe/a")).statusCode()).isEqualTo(200);
