--- a/library/src/test/java/org/bulrushpier/rollout/WeightInquiryTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/WeightInquiryTest.java
@@ -94,7 +94,7 @@
   }
 
   @Test
-  void questionsAreRepeatedAtIntervalsAndEndAfterAWhile() {
+  void questionsAreRepeatedAndEndAfterSomeTime() {
     restarted.update("m", 2, RequestInterval.before(at(1_000)));
 
     assertThat(asking.nextQuestion(at(1_000), CHANGE_MILLIS)).isPresent();
--- a/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
@@ -81,7 +81,7 @@
   /** The watch gets no answer for longer than the time allowed for a change. */
   @Test
   void silentWatchGivesOutdatedEnginesNoMoreTime() throws Exception {
-    Instance instance = site.startInstances(1).get(0);
+    final Instance instance = site.startInstances(1).get(0);
     site.metadataStore().silenceReads("versions");
     site.requestVersion(2);
     Thread.sleep(GatewaySite.CHANGE_MILLIS + 500);
