Engines that are no longer listed as changing get requests again at once

What callers saw: refusals ("no engine can take it") for about a second at instances that do not send the orders, while orders are unanswered.

Cause: an instance pauses the engines of a lease record for 1.2 s. An engine whose order got no response leaves the record 0.4 s later, but its pause went on, so two groups of three engines, all there were, were paused together.

Change: engines that a newer record no longer lists are resumed. The tests now wait for the whole time for a change before they wait for a refusal, so that no other refusal can be taken for it; what they assert is unchanged.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -216,6 +217,10 @@
     private final OrderLease lease;
     private final Map<String, EngineChange> changing = new LinkedHashMap<>();
     private final Map<String, Long> skipUntilMillis = new HashMap<>();
+
+    /** The engines that the last record of another holder lists as changing. */
+    private final Set<String> announced = new HashSet<>();
+
     private long nextWriteMillis = Long.MIN_VALUE;
     private long freeAtMillis = -1;
     private boolean isWriting;
@@ -247,6 +252,15 @@
           engine.resume();
         }
       }
+      announced.removeAll(record.changing());
+      for (String id : announced) {
+        Replica engine = context.replicas().find(id);
+        if (engine != null) {
+          engine.resume();
+        }
+      }
+      announced.clear();
+      announced.addAll(record.changing());
       for (String id : record.changing()) {
         Replica engine = context.replicas().find(id);
         if (engine != null && engine.version(model) < record.version()) {
--- a/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/OutdatedWeightsIntegrationTest.java
@@ -41,6 +41,12 @@
     engine.setOrderBehaviour(OrderBehaviour.PROMPT, 0);
   }
 
+  /** Waits for the time for a change to pass and until generations are refused. */
+  private static void awaitRefusal(Instance instance) throws Exception {
+    Thread.sleep(GatewaySite.CHANGE_MILLIS);
+    GatewaySite.await(() -> instance.generate() == 503);
+  }
+
   /** Sends generations for a while and returns how many the engines executed. */
   private int executedWithin(Instance instance, long millis) throws Exception {
     int before = site.executed();
@@ -56,7 +62,7 @@
   void restartGivesOutdatedEnginesNoMoreTime() throws Exception {
     Instance restarted = site.startInstances(2).get(1);
     site.requestVersion(2);
-    GatewaySite.await(() -> restarted.generate() == 503);
+    awaitRefusal(restarted);
 
     restarted.restart();
     restarted.awaitReady();
@@ -69,7 +75,7 @@
   void restartWithoutOtherInstancesUsesOutdatedEnginesOnlyBriefly() throws Exception {
     Instance restarted = site.startInstances(1).get(0);
     site.requestVersion(2);
-    GatewaySite.await(() -> restarted.generate() == 503);
+    awaitRefusal(restarted);
 
     restarted.restart();
     restarted.awaitReady();
@@ -97,7 +103,7 @@
   void restartedInstanceStartsNoGenerationBeforeItKnowsTheRequestedVersions() throws Exception {
     Instance restarted = site.startInstances(1).get(0);
     site.requestVersion(2);
-    GatewaySite.await(() -> restarted.generate() == 503);
+    awaitRefusal(restarted);
     site.metadataStore().silenceReads("versions");
 
     restarted.restart();
@@ -111,7 +117,7 @@
   void requestWithoutReadablePromptStartsOnNoOutdatedEngine() throws Exception {
     Instance instance = site.startInstances(1).get(0);
     site.requestVersion(2);
-    GatewaySite.await(() -> instance.generate() == 503);
+    awaitRefusal(instance);
     int executedBefore = site.executed();
 
     int status = site.status(instance.requestWithoutPrompt());
