--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -244,7 +244,6 @@
         Moment seen = Moment.now();
         context.weights().refine(model, record.version(), RequestInterval.before(seen), seen);
       }
-      long now = MonotonicClock.millis();
       for (String id : record.changed()) {
         Replica engine = context.replicas().find(id);
         if (engine != null && engine.version(model) < record.version()) {
@@ -261,6 +260,7 @@
       }
       announced.clear();
       announced.addAll(record.changing());
+      long now = MonotonicClock.millis();
       for (String id : record.changing()) {
         Replica engine = context.replicas().find(id);
         if (engine != null && engine.version(model) < record.version()) {
