A stream that broke off waits for an engine as long as its caller does

What callers saw: a resumable stream whose engine broke off was cut at once if no other engine was usable at that moment, and otherwise after the wait that the queue permits a new request: the latency objective, or a quarter of it under load. Callers wait for the next event for two seconds or longer.

Cause: placement's refusal was final for interrupted streams too, and the placement queue treated them as new requests with a higher priority.

Change: an interrupted stream stays outside the queue and is placed again at each tick, before the queue, until the caller has waited for CallerPatience since the last event, or until its deadline. Kept in the queue it would hold up requests that other engines can take, and its longer wait would be taken for an overload. The bounds of max_attempts and of the retry budget are unchanged; a stream for which they allow no further attempt is still cut at once. Failed connections, of which there is at most one per engine, no longer end an interrupted stream.

New log line: "interrupted", with the reason and the last event.

Evidence: streamThatBrokeOffWaitsForAnotherEngineWhileItsCallerWaits failed on the code before, with the connection closed after event 2. Not shown by a test: the order among many interrupted streams, and a new request that takes the place that an interrupted stream waits for between two ticks while the queue is empty.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -21,6 +21,7 @@
 import org.bulrushpier.placing.AttemptRace;
 import org.bulrushpier.placing.CachePlanner;
 import org.bulrushpier.placing.CacheSalt;
+import org.bulrushpier.placing.CallerPatience;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.ResponseTimeout;
@@ -65,9 +66,6 @@
   /** The lowest priority that engines distinguish; configured ones beyond it are equal to it. */
   private static final int MAX_PRIORITY = 9;
 
-  /** Priority in the queue of a stream that continues at another upstream, before all others. */
-  private static final int RESUMED_PRIORITY = -1;
-
   /** Number of failed connection attempts after which the request is given up. */
   private static final int MAX_CONNECT_FAILURES = 3;
 
@@ -93,6 +91,7 @@
   private final AttemptRace<Attempt> race = new AttemptRace<>();
   private Attempt failedAnswer;
   private long nextSilenceRetryMillis;
+  private boolean isInterrupted;
   private Placement.Wait wait;
   private int attempts;
   private int connectFailures;
@@ -182,15 +181,39 @@
     return Math.clamp(holder.effectivePriority(route), 0, MAX_PRIORITY);
   }
 
-  /** Waits for an engine; interrupted streams go on before new requests begin. */
+  /** Waits for an engine. */
   private void await(Placement.Wait placement) {
     if (wait == null) {
-      int priority = isStreaming ? RESUMED_PRIORITY : priority();
-      queue().add(this, priority, route.goalMillis(), MonotonicClock.millis());
+      queue().add(this, priority(), route.goalMillis(), MonotonicClock.millis());
     }
     wait = placement;
   }
 
+  /**
+   * Keeps a stream that no engine can continue now for as long as its caller waits for the next
+   * event. It waits outside the queue, as it may depend on other engines than the requests there.
+   */
+  private void awaitContinuation(String reason, long nowMillis) {
+    if (CallerPatience.of(route.goalMillis(), route.gapMillis())
+        .isExhausted(lastProgressMillis, nowMillis)) {
+      giveUp(reason);
+    } else if (!isInterrupted) {
+      isInterrupted = true;
+      context
+          .log()
+          .event(
+              "interrupted",
+              "request",
+              request.id(),
+              "lastEvent",
+              lastEvent,
+              "silentForMs",
+              nowMillis - lastProgressMillis,
+              "reason",
+              reason);
+    }
+  }
+
   /**
    * Tries to place this request, which waits for an engine.
    *
@@ -236,8 +259,11 @@
           wait = null;
           queue().placed(this, now);
         }
+        isInterrupted = false;
         send(send, remaining);
       }
+      case Placement.Wait busy when isStreaming -> awaitContinuation(busy.reason(), now);
+      case Placement.Refuse refusal when isStreaming -> awaitContinuation(refusal.reason(), now);
       case Placement.Wait busy -> await(busy);
       case Placement.Refuse refusal -> giveUp(refusal.reason(), refusal.retryAfterMillis());
     }
@@ -328,6 +354,8 @@
     }
     if (nowMillis >= deadlineMillis) {
       timedOut();
+    } else if (isInterrupted) {
+      tryPlace();
     } else {
       race.running().stream().filter(Attempt::isExpired).forEach(Attempt::recall);
       if (!race.isEmpty() && route.isRepeatable()) {
@@ -1019,7 +1047,7 @@
       } else {
         replica.markUnreachable(MonotonicClock.millis());
         triedReplicas.add(replica.entry().id());
-        if (++connectFailures >= MAX_CONNECT_FAILURES && race.isEmpty()) {
+        if (++connectFailures >= MAX_CONNECT_FAILURES && race.isEmpty() && !isStreaming) {
           giveUp(detail);
         } else {
           place();
--- a/rig/src/test/java/org/bulrushpier/rig/SilentReplicaIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/SilentReplicaIntegrationTest.java
@@ -271,4 +271,28 @@
     assertThat(first.executions()).hasSize(1);
     assertThat(second.executions()).isEmpty();
   }
+
+  @Test
+  void streamThatBrokeOffWaitsForAnotherEngineWhileItsCallerWaits() throws Exception {
+    ReplicaFake first = registerSilent("engines", new Silence(2, 1_000));
+    first.setBehaviour(Behaviour.CUT_STREAM);
+    CompletableFuture<HttpResponse<String>> stream = send("/stream/a", first);
+    metadataStore.remove("servers", first.id());
+    Thread.sleep(1_500);
+    ReplicaFake second = register("engines", "second", Behaviour.ANSWER);
+
+    assertWholeStream(stream);
+
+    assertThat(second.executions().get(0).headers()).containsEntry("last-event-id", "2");
+  }
+
+  @Test
+  void streamThatNoEngineContinuesIsCutOnceItsCallerHasGivenUp() throws Exception {
+    ReplicaFake first = registerSilent("engines", new Silence(2, 1_000));
+    first.setBehaviour(Behaviour.CUT_STREAM);
+    CompletableFuture<HttpResponse<String>> stream = send("/stream/a", first);
+    metadataStore.remove("servers", first.id());
+
+    assertThat(stream).failsWithin(Duration.ofSeconds(8));
+  }
 }
