A prompt that its engine broke off goes on there if there is no other

What callers saw: a stream whose only engine closed the connection, for example because connections were reset, was cut off although the engine took other requests. docs/design has promised the opposite for prompts.

Cause: every replica that had an attempt was excluded for the rest of the request, whether it had refused or broken off.

Change: replicas that broke a prompt off, or were overtaken while silent, are excluded only as long as placement finds another one that can take it. Refusals, error responses, failed connections and recalls exclude a replica as before, also if it had broken off earlier. The bounds of max_attempts and the retry budget are unchanged, and plain calls go on as before.

Other attempts are now overtaken by an event only after its number has been checked.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -84,6 +84,7 @@
   private final CallerRequest request;
   private final long arrivedMillis = MonotonicClock.millis();
   private final Set<String> triedReplicas = new HashSet<>();
+  private final Set<String> lostReplicas = new HashSet<>();
   private ConfiguredRoute route;
   private KeyHolder holder = KeyHolder.ANONYMOUS;
   private String service = "";
@@ -253,7 +254,13 @@
       return;
     }
     long now = MonotonicClock.millis();
-    switch (choose(triedReplicas, remaining, now)) {
+    Placement placement = choose(triedReplicas, remaining, now);
+    if (placement instanceof Placement.Refuse && !lostReplicas.isEmpty()) {
+      Set<String> excluded = new HashSet<>(triedReplicas);
+      excluded.removeAll(lostReplicas);
+      placement = choose(excluded, remaining, now);
+    }
+    switch (placement) {
       case Placement.Send send -> {
         if (wait != null) {
           wait = null;
@@ -373,9 +380,7 @@
     silent.forEach(attempt -> attempt.avoidReplica(nowMillis));
     long remaining = remainingMillis();
     long unsent = silent.stream().filter(attempt -> !attempt.outbound.isSent()).count();
-    if (nowMillis < nextSilenceRetryMillis
-        || attempts + unsent >= route.maxAttempts()
-        || remaining < MIN_REMAINING_MILLIS) {
+    if (nowMillis < nextSilenceRetryMillis || !mayRetry(attempts + unsent)) {
       return;
     }
     nextSilenceRetryMillis = nowMillis + SILENCE_RETRY_MILLIS;
@@ -390,9 +395,11 @@
 
   /** Returns whether the request may be sent again, and takes a retry from the budget if so. */
   private boolean tryAcquireRetry() {
-    return attempts < route.maxAttempts()
-        && remainingMillis() > MIN_REMAINING_MILLIS
-        && context.retryBudget(service).tryRetry(MonotonicClock.millis());
+    return mayRetry(attempts) && context.retryBudget(service).tryRetry(MonotonicClock.millis());
+  }
+
+  private boolean mayRetry(long sends) {
+    return sends < route.maxAttempts() && remainingMillis() > MIN_REMAINING_MILLIS;
   }
 
   private void timedOut() {
@@ -658,7 +665,7 @@
               outdatedMillis(),
               "waitedMs",
               MonotonicClock.millis() - inFlight.sentMillis());
-      triedReplicas.add(replica.entry().id());
+      excludeReplica();
       cancel("outdated weights");
       retryOrGiveUp("its engine's weights were replaced before it started");
     }
@@ -734,6 +741,19 @@
       }
     }
 
+    private void excludeReplica() {
+      triedReplicas.add(replica.entry().id());
+      lostReplicas.remove(replica.entry().id());
+    }
+
+    /** Excludes the replica as long as there is another one, if it may run the prompt again. */
+    private void replicaLost() {
+      excludeReplica();
+      if (request.prompt().isPresent()) {
+        lostReplicas.add(replica.entry().id());
+      }
+    }
+
     /** Returns whether the replica has been silent long enough to justify another attempt. */
     private boolean isSilent(long nowMillis) {
       return inFlight.isStarted()
@@ -794,7 +814,7 @@
                 other.silentMillis(now),
                 "lastEvent",
                 lastEvent);
-        triedReplicas.add(other.replica.entry().id());
+        other.replicaLost();
         other.cancel("overtaken");
       }
     }
@@ -892,7 +912,6 @@
       if (isEnded) {
         return;
       }
-      overtakeOthers();
       long now = MonotonicClock.millis();
       recordProgress(now);
       replica.recordActivity(now);
@@ -904,6 +923,7 @@
         giveUp("an event of the stream is missing");
         return;
       }
+      overtakeOthers();
       if (id >= 0) {
         lastEvent = id;
       }
@@ -954,7 +974,7 @@
     private void keepFailedAnswer() {
       mayHaveRun = true;
       failedAnswer = this;
-      triedReplicas.add(replica.entry().id());
+      excludeReplica();
     }
 
     private void handleRefusal() {
@@ -968,7 +988,7 @@
               replica.entry().id(),
               "status",
               response.status());
-      triedReplicas.add(replica.entry().id());
+      excludeReplica();
       String responder = CallFormat.replicaId(head.fields());
       if (response.isMisdirected()) {
         if (!responder.isEmpty() && !responder.equals(replica.entry().id())) {
@@ -1024,7 +1044,7 @@
       end();
       if (!outbound.isSent() && isObsolete()) {
         context.log().event("not-sent", "request", request.id(), "replica", replica.entry().id());
-        triedReplicas.add(replica.entry().id());
+        excludeReplica();
         place();
         return;
       }
@@ -1046,7 +1066,7 @@
         responseLost(detail);
       } else {
         replica.markUnreachable(MonotonicClock.millis());
-        triedReplicas.add(replica.entry().id());
+        excludeReplica();
         if (++connectFailures >= MAX_CONNECT_FAILURES && race.isEmpty() && !isStreaming) {
           giveUp(detail);
         } else {
@@ -1056,7 +1076,7 @@
     }
 
     private void responseLost(String detail) {
-      triedReplicas.add(replica.entry().id());
+      replicaLost();
       if (isStreaming && !route.isResumable()) {
         giveUp(detail);
       } else {
--- a/rig/src/test/java/org/bulrushpier/rig/SilentReplicaIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/SilentReplicaIntegrationTest.java
@@ -17,6 +17,7 @@
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
 import org.bulrushpier.rig.gateway.ReplicaFake;
 import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
+import org.bulrushpier.rig.gateway.ReplicaFake.OrderBehaviour;
 import org.bulrushpier.rig.gateway.ReplicaFake.Silence;
 import org.bulrushpier.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
@@ -69,6 +70,7 @@
         metrics-address = %s
         platform-address = %s
         retry-minimum = 400
+        weights-change-ms = 4000
         """
             .formatted(
                 FreePorts.next("127.0.0.1"),
@@ -295,4 +297,57 @@
 
     assertThat(stream).failsWithin(Duration.ofSeconds(8));
   }
+
+  @Test
+  void streamThatBrokeOffContinuesAtItsEngineIfThereIsNoOther() throws Exception {
+    ReplicaFake first = register("engines", "first", Behaviour.CUT_STREAM);
+
+    assertWholeStream(send("/stream/a", first));
+
+    assertThat(first.executions()).hasSize(2);
+    assertThat(first.executions().get(1).headers()).containsEntry("last-event-id", "2");
+  }
+
+  /** Sends a stream that two engines have without having begun it. */
+  private CompletableFuture<HttpResponse<String>> sendToTwoSilentEngines() throws Exception {
+    for (String id : List.of("first", "second")) {
+      ReplicaFake engine = replica(id, Behaviour.ANSWER);
+      engine.setSilence(new Silence(0, ENDLESS_MILLIS));
+      engine.setOrderBehaviour(OrderBehaviour.UNANSWERED, ENDLESS_MILLIS);
+    }
+    metadataStore.register(replicas.get(0), "engines");
+    CompletableFuture<HttpResponse<String>> stream = send("/stream/a", replicas.get(0));
+    metadataStore.register(replicas.get(1), "engines");
+    await(() -> replicas.get(1).executions().size() == 1);
+    return stream;
+  }
+
+  @Test
+  void requestOfCallerThatLeftIsCancelledAtAllReplicasThatHaveIt() throws Exception {
+    CompletableFuture<HttpResponse<String>> stream = sendToTwoSilentEngines();
+
+    stream.cancel(true);
+
+    await(() -> replicas.stream().allMatch(engine -> engine.dropped() == 1));
+  }
+
+  @Test
+  void requestIsCancelledAtAllReplicasThatHaveItAtItsDeadline() throws Exception {
+    CompletableFuture<HttpResponse<String>> stream = sendToTwoSilentEngines();
+
+    assertThat(stream.get(30, TimeUnit.SECONDS).statusCode()).isEqualTo(504);
+
+    await(() -> replicas.stream().allMatch(engine -> engine.dropped() == 1));
+  }
+
+  @Test
+  void allWaitingAttemptsAreRecalledOnceTheirWeightsAreOutdated() throws Exception {
+    CompletableFuture<HttpResponse<String>> stream = sendToTwoSilentEngines();
+
+    metadataStore.requestWeights(2);
+
+    assertThat(stream.get(30, TimeUnit.SECONDS).statusCode()).isEqualTo(502);
+    await(() -> replicas.stream().allMatch(engine -> engine.dropped() == 1));
+    assertThat(replicas).allMatch(engine -> engine.executions().size() == 1);
+  }
 }
