A stall of the gateway is not taken for the silence of its replicas

What callers saw: after the gateway's process had not run for a while (stopped, or starved of processor time), it sent streams to a second engine although the first one had never paused.

Cause: the first tick after a stall compares the time with the last event that was read, while the events of the stall still wait in the sockets.

Change: StallDetector measures the time between ticks. For a moment after a stall the silence of replicas is not evaluated, so that what arrived meanwhile is read first. New log line: "stalled", with its duration.

Deadlines, the placement queue and the watches of the store are not changed.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -365,7 +365,7 @@
       tryPlace();
     } else {
       race.running().stream().filter(Attempt::isExpired).forEach(Attempt::recall);
-      if (!race.isEmpty() && route.isRepeatable()) {
+      if (!race.isEmpty() && route.isRepeatable() && !context.stalls().isRecovering(nowMillis)) {
         placeBesideSilent(nowMillis);
       }
     }
@@ -378,7 +378,6 @@
       return;
     }
     silent.forEach(attempt -> attempt.avoidReplica(nowMillis));
-    long remaining = remainingMillis();
     long unsent = silent.stream().filter(attempt -> !attempt.outbound.isSent()).count();
     if (nowMillis < nextSilenceRetryMillis || !mayRetry(attempts + unsent)) {
       return;
@@ -386,6 +385,7 @@
     nextSilenceRetryMillis = nowMillis + SILENCE_RETRY_MILLIS;
     Set<String> excluded = new HashSet<>(triedReplicas);
     silent.forEach(attempt -> excluded.add(attempt.replica.entry().id()));
+    long remaining = remainingMillis();
     if (choose(excluded, remaining, nowMillis) instanceof Placement.Send other
         && context.retryBudget(service).tryRetry(nowMillis)) {
       silent.forEach(attempt -> attempt.logSilence(other.replica(), nowMillis));
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -192,6 +192,10 @@
 
   private void tick() {
     long now = MonotonicClock.millis();
+    long stalledMillis = context.stalls().tick(now);
+    if (stalledMillis > 0) {
+      context.log().event("stalled", "forMs", stalledMillis, "running", exchanges.size());
+    }
     for (Exchange exchange : exchanges.toArray(new Exchange[0])) {
       // A failure must not keep the other requests from their timeouts.
       loop.run(() -> exchange.tick(now));
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -18,6 +18,7 @@
 import org.bulrushpier.placing.PlainPlacement;
 import org.bulrushpier.placing.PrefillRate;
 import org.bulrushpier.placing.ReplicaClock;
+import org.bulrushpier.placing.StallDetector;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.replica.ReplicaTable;
 import org.bulrushpier.rollout.TargetWeights;
@@ -59,6 +60,7 @@
   private final EventLog log = new EventLog();
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, PlacementQueue<Exchange>> placementQueues = new HashMap<>();
+  private final StallDetector stalls = new StallDetector();
   private int mostInstances = 1;
 
   GatewayContext(EventLoop loop, Supplier<GatewaySettings> settings) {
@@ -104,6 +106,11 @@
     return weightInquiry;
   }
 
+  /** Returns the detector of stalls of this process. */
+  StallDetector stalls() {
+    return stalls;
+  }
+
   /** Returns the clock that replicas and cache stores share. */
   ReplicaClock replicaClock() {
     return replicaClock;
