The largest answer is written whole after another one

What callers saw: a connection that ended in the middle of an answer of nearly 4 MiB, with "the peer does not read" in the log, although the caller read it. Cause: the bound on queued bytes counted the answer that was being added, and an answer may be as large as the bound; its head, or the end of an answer before it, was enough to exceed it. Change: the bound counts what had been queued before the write. Evidence: largestAnswerIsWrittenWholeAfterAnotherOne.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -19,7 +19,9 @@
   /** Maximum number of queued buffers passed to one write. */
   private static final int MAX_BUFFERS_PER_WRITE = 16;
 
-  /** Maximum bytes queued for a peer that does not read; beyond it the connection is closed. */
+  /**
+   * Maximum bytes queued for a peer that does not read; a write beyond it closes the connection.
+   */
   private static final long MAX_QUEUED_BYTES = 4L * 1_024 * 1_024;
 
   final EventLoop loop;
@@ -101,12 +103,12 @@
     if (isClosed || !buffer.hasRemaining()) {
       return;
     }
-    writeQueue.add(buffer);
-    queuedBytes += buffer.remaining();
     if (queuedBytes > MAX_QUEUED_BYTES) {
       finish(true, "the peer does not read");
       return;
     }
+    writeQueue.add(buffer);
+    queuedBytes += buffer.remaining();
     if (!isReading) {
       flush();
     }
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -192,6 +192,24 @@
     }
   }
 
+  @Test
+  void largestAnswerIsWrittenWholeAfterAnotherOne() throws Exception {
+    int bodyBytes = 4 * 1_024 * 1_024;
+    try (Socket socket = connect()) {
+      RawServer.write(
+          socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      respond("y".repeat(bodyBytes));
+      nextRequest();
+      respond("z".repeat(bodyBytes));
+
+      for (int i = 0; i < 2; i++) {
+        assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+        assertThat(socket.getInputStream().readNBytes(bodyBytes)).hasSize(bodyBytes);
+      }
+    }
+  }
+
   /** Callers who were refused leave their connections open and return on new ones. */
   @Test
   void idleConnectionsHoldLittleMemory() throws Exception {
