Bytes that follow a request no longer destroy its answer

What callers saw: a connection that ended without the answer to a request that was under way, or a reset that took the answer with it. Cause, in two places: more than 64 KiB of pipelined requests ended the connection and the request before them; and the connection was closed right after the last write, which resets it while bytes are unread, so that the answer is lost on its way. A request that was rejected could also still be completed by bytes that followed its rejection. Change: beyond 64 KiB no more is read until the request is answered. A connection that closes after its last write ends its output first and discards what arrives, for a second at most, and reads no further request.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -27,8 +27,8 @@
 public final class CallerConnection extends HttpConnection {
 
   /**
-   * Maximum bytes of pipelined requests buffered while a request is being answered; beyond it the
-   * connection is closed.
+   * Bytes of pipelined requests buffered while a request is being answered, beyond which no more
+   * are read. The end of the connection is not noticed then.
    */
   private static final int MAX_PIPELINED_BYTES = 64 * 1_024;
 
@@ -47,8 +47,7 @@
     void requestReceived(CallerConnection connection, InboundRequest request);
 
     /**
-     * The caller disconnected, or was disconnected because it pipelined too many bytes, before its
-     * request was answered.
+     * The caller disconnected before its request was answered.
      *
      * @param connection the closed connection
      */
@@ -199,6 +198,9 @@
       pipelined = null;
       received(bytes);
     }
+    if (pipelined == null) {
+      resumeReading();
+    }
   }
 
   /** Closes the connection so that the caller detects that the response is incomplete. */
@@ -227,7 +229,7 @@
 
   @Override
   void received(ByteBuffer bytes) {
-    while (bytes.hasRemaining() && !isClosed()) {
+    while (bytes.hasRemaining() && !isClosing()) {
       if (isResponding) {
         bufferPipelined(bytes);
         return;
@@ -258,16 +260,14 @@
 
   private void bufferPipelined(ByteBuffer bytes) {
     int bufferedBytes = pipelined == null ? 0 : pipelined.remaining();
-    if (bufferedBytes + bytes.remaining() > MAX_PIPELINED_BYTES) {
-      handler.callerDisconnected(this);
-      abort();
-      return;
-    }
     ByteBuffer all = ByteBuffer.allocate(bufferedBytes + bytes.remaining());
     if (pipelined != null) {
       all.put(pipelined);
     }
     pipelined = all.put(bytes).flip();
+    if (pipelined.remaining() > MAX_PIPELINED_BYTES) {
+      pauseReading();
+    }
   }
 
   private void awaitRequest() {
@@ -352,7 +352,7 @@
 
     @Override
     public boolean messageComplete() {
-      if (isResponding || isClosed()) {
+      if (isResponding || isClosing()) {
         return true;
       }
       stopTimer();
@@ -370,7 +370,7 @@
 
     @Override
     public void badMessage(HttpException failure) {
-      if (!isResponding) {
+      if (!isResponding && !isClosing()) {
         reject(failure.getCode());
       }
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -11,8 +11,10 @@
  * Base class of inbound and outbound HTTP/1.1 connections: reads with the loop's lock held and
  * queues buffers to be written.
  *
- * <p>Reading never pauses while a response is pending, so that the end of the connection is noticed
- * immediately. Guarded by the loop's lock.
+ * <p>Reading goes on while a response is pending, so that the end of the connection is noticed
+ * immediately, unless the subclass pauses it. A connection that closes after its last write first
+ * ends its output and discards what still arrives, since closing a socket with unread bytes resets
+ * it and could destroy that write on its way. Guarded by the loop's lock.
  */
 abstract class HttpConnection extends AbstractConnection {
 
@@ -24,13 +26,18 @@
    */
   private static final long MAX_QUEUED_BYTES = 4L * 1_024 * 1_024;
 
+  /** How long input is discarded after the last write, in milliseconds. */
+  private static final long LINGER_MILLIS = 1_000;
+
   final EventLoop loop;
   private final ArrayDeque<ByteBuffer> writeQueue = new ArrayDeque<>();
   private long queuedBytes;
   private boolean isWriting;
   private boolean closesAfterWrite;
+  private boolean isLingering;
   private boolean isClosed;
   private boolean isReading;
+  private boolean isReadingPaused;
   private final Callback readCallback = new ReadCallback();
 
   HttpConnection(EventLoop loop, EndPoint endPoint) {
@@ -56,7 +63,7 @@
   }
 
   private void awaitReadable() {
-    if (!isClosed && getEndPoint().isOpen()) {
+    if (!isClosed && !isReadingPaused && getEndPoint().isOpen()) {
       getEndPoint().fillInterested(readCallback);
     }
   }
@@ -64,7 +71,7 @@
   private void read() {
     isReading = true;
     try {
-      while (!isClosed) {
+      while (!isClosed && !isReadingPaused) {
         ByteBuffer buffer = loop.readBuffer();
         buffer.clear().limit(0);
         int count = getEndPoint().fill(buffer);
@@ -75,7 +82,9 @@
         if (count == 0) {
           break;
         }
-        received(buffer);
+        if (!closesAfterWrite) {
+          received(buffer);
+        }
         if (count < EventLoop.READ_BYTES / 2) {
           break;
         }
@@ -94,7 +103,9 @@
     if (isClosed) {
       return;
     }
-    ended(isReset, detail);
+    if (!isLingering) {
+      ended(isReset, detail);
+    }
     disconnect();
   }
 
@@ -119,8 +130,8 @@
       return;
     }
     if (writeQueue.isEmpty()) {
-      if (closesAfterWrite) {
-        disconnect();
+      if (closesAfterWrite && !isLingering) {
+        linger();
       }
       return;
     }
@@ -134,12 +145,44 @@
     getEndPoint().write(new WriteCallback(), buffers);
   }
 
-  /** Closes the connection once all queued buffers are written. */
+  private void linger() {
+    isLingering = true;
+    getEndPoint().shutdownOutput();
+    loop.after(LINGER_MILLIS, this::disconnect);
+    resumeReading();
+  }
+
+  /** Stops reading, so that the peer's bytes stay in the socket until reading is resumed. */
+  final void pauseReading() {
+    isReadingPaused = true;
+  }
+
+  /** Continues to read after a pause. */
+  final void resumeReading() {
+    if (isReadingPaused) {
+      isReadingPaused = false;
+      if (!isReading) {
+        awaitReadable();
+      }
+    }
+  }
+
+  /** Returns whether bytes wait to be written. */
+  final boolean isWritePending() {
+    return !isClosed && (isWriting || !writeQueue.isEmpty());
+  }
+
+  /** Closes the connection once all queued buffers are written and the peer has closed its side. */
   final void closeAfterWrite() {
     closesAfterWrite = true;
     flush();
   }
 
+  /** Returns whether the connection is closed or reads no more as it will be closed. */
+  final boolean isClosing() {
+    return isClosed || closesAfterWrite;
+  }
+
   /** Closes the connection immediately; {@link #ended} is not called. */
   final void disconnect() {
     if (!isClosed) {
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -210,6 +210,56 @@
     }
   }
 
+  @Test
+  void answerIsNotCutOffByPipelinedRequests() throws Exception {
+    limits = new CallerLimits(2_000, 1_000_000, 60_000, 60_000);
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      int pipelinedBytes = 300_000;
+      Thread writer =
+          Thread.ofVirtual()
+              .start(
+                  () -> {
+                    try {
+                      RawServer.write(
+                          socket,
+                          "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                              + pipelinedBytes
+                              + "\r\n\r\n"
+                              + "y".repeat(pipelinedBytes));
+                    } catch (IOException e) {
+                      throw new IllegalStateException(e);
+                    }
+                  });
+      Thread.sleep(300);
+      respond("");
+
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+      assertThat(nextRequest().body()).hasSize(pipelinedBytes);
+      writer.join();
+    }
+  }
+
+  /** Closing a socket with unread bytes resets the connection. */
+  @Test
+  void lastAnswerIsNotDestroyedByBytesThatFollowItsRequest() throws Exception {
+    int bodyBytes = 3_000_000;
+    for (int i = 0; i < 5; i++) {
+      try (Socket socket = connect()) {
+        RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        nextRequest();
+        respond("z".repeat(bodyBytes));
+        RawServer.write(socket, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+        Thread.sleep(100);
+
+        assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+        assertThat(socket.getInputStream().readAllBytes()).hasSize(bodyBytes);
+        assertThat(requests).isEmpty();
+      }
+    }
+  }
+
   /** Callers who were refused leave their connections open and return on new ones. */
   @Test
   void idleConnectionsHoldLittleMemory() throws Exception {
