Open connections follow the limits in force

What callers saw: after a change of the configuration raised idle_timeout_ms, a call on a connection that was open since before found it closed; larger heads and bodies that the new limits allow were rejected with 431 and 413. Cause: a connection read the limits once, when it was opened. Change: limits are read with each request, and at the end of each wait, which goes on if the limit in force is higher by then. A limit that is lowered holds from the next wait on. A request that stays unfinished is answered with 408, which says that it has not run, instead of a closed connection; the log has the wait and the limit. Evidence: all three tests failed before (no request arrived; connection closed).

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -2,6 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.function.ToLongFunction;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.site.CallerLimits;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
@@ -10,8 +12,11 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.EndPoint;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A caller's connection, which reads one request at a time and writes its response.
@@ -32,6 +37,8 @@
    */
   private static final int MAX_PIPELINED_BYTES = 64 * 1_024;
 
+  private static final Logger log = LoggerFactory.getLogger("net");
+
   private static final ByteBuffer CONTINUE =
       ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes()).asReadOnlyBuffer();
 
@@ -54,7 +61,8 @@
     default void callerDisconnected(CallerConnection connection) {}
 
     /**
-     * Returns the limits for requests on new connections.
+     * Returns the limits for requests. They apply to open connections from their next request or
+     * wait on.
      *
      * @return the limits in force
      */
@@ -73,8 +81,8 @@
   }
 
   private final Handler handler;
-  private final HttpParser parser;
-  private final CallerLimits limits;
+  private HttpParser parser;
+  private int parserHeaderBytes;
   private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private ByteBuffer pipelined;
   private HttpFields.Mutable fields = HttpFields.build();
@@ -87,14 +95,19 @@
   private boolean isParsing;
   private boolean isParserResetPending;
   private EventLoop.Timer timer;
+  private ToLongFunction<CallerLimits> awaited;
+  private long awaitedSinceMillis;
   private Object attachment;
 
   CallerConnection(EventLoop loop, EndPoint endPoint, Handler handler) {
     super(loop, endPoint);
     this.handler = handler;
-    this.limits = handler.limits();
-    this.parser =
-        new HttpParser(new RequestParserHandler(), limits.headerBytes(), HttpCompliance.RFC7230);
+    createParser(handler.limits().headerBytes());
+  }
+
+  private void createParser(int headerBytes) {
+    parserHeaderBytes = headerBytes;
+    parser = new HttpParser(new RequestParserHandler(), headerBytes, HttpCompliance.RFC7230);
     parser.setHeaderCacheSize(0);
   }
 
@@ -235,7 +248,7 @@
         return;
       }
       if (parser.isStart()) {
-        startTimer(limits.headerTimeoutMillis());
+        beginRequest();
       }
       if (parser.isState(HttpParser.State.CLOSE) || parser.isState(HttpParser.State.CLOSED)) {
         return;
@@ -250,6 +263,14 @@
     }
   }
 
+  private void beginRequest() {
+    int headerBytes = handler.limits().headerBytes();
+    if (headerBytes != parserHeaderBytes) {
+      createParser(headerBytes);
+    }
+    startTimer(CallerLimits::headerTimeoutMillis);
+  }
+
   @Override
   void ended(boolean isReset, String detail) {
     stopTimer();
@@ -273,17 +294,33 @@
   private void awaitRequest() {
     isResponseStarted = false;
     fields = HttpFields.build();
-    startTimer(limits.idleTimeoutMillis());
+    startTimer(CallerLimits::idleTimeoutMillis);
   }
 
-  private void startTimer(long millis) {
+  /** Starts to wait for the caller, for as long as the limit in force at the end of the wait. */
+  private void startTimer(ToLongFunction<CallerLimits> limit) {
     stopTimer();
-    timer = loop.after(millis, this::timedOut);
+    awaited = limit;
+    awaitedSinceMillis = MonotonicClock.millis();
+    timer = loop.after(limit.applyAsLong(handler.limits()), this::waitEnded);
   }
 
-  private void timedOut() {
-    if (!isResponding) {
+  private void waitEnded() {
+    if (isResponding || isClosing()) {
+      return;
+    }
+    long waitedMillis = MonotonicClock.millis() - awaitedSinceMillis;
+    long limitMillis = awaited.applyAsLong(handler.limits());
+    if (waitedMillis < limitMillis) {
+      timer = loop.after(limitMillis - waitedMillis, this::waitEnded);
+    } else if (parser.isStart()) {
       disconnect();
+    } else {
+      log.info(
+          "net: request cut off, its caller sent nothing for {} ms (limit {} ms).",
+          waitedMillis,
+          limitMillis);
+      reject(HttpStatus.REQUEST_TIMEOUT_408);
     }
   }
 
@@ -325,11 +362,11 @@
 
     @Override
     public boolean headerComplete() {
-      if (parser.getContentLength() > limits.bodyBytes()) {
-        reject(413);
+      if (parser.getContentLength() > handler.limits().bodyBytes()) {
+        reject(HttpStatus.PAYLOAD_TOO_LARGE_413);
         return true;
       }
-      startTimer(limits.idleTimeoutMillis());
+      startTimer(CallerLimits::idleTimeoutMillis);
       return false;
     }
 
@@ -337,8 +374,8 @@
     public boolean content(ByteBuffer bytes) {
       byte[] part = new byte[bytes.remaining()];
       bytes.get(part);
-      if (body.size() + part.length > limits.bodyBytes()) {
-        reject(413);
+      if (body.size() + part.length > handler.limits().bodyBytes()) {
+        reject(HttpStatus.PAYLOAD_TOO_LARGE_413);
         return true;
       }
       body.write(part, 0, part.length);
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -31,6 +31,7 @@
   private final BlockingQueue<CallerConnection> connections = new LinkedBlockingQueue<>();
   private final BlockingQueue<InboundRequest> requests = new LinkedBlockingQueue<>();
   private final CompletableFuture<Void> disconnected = new CompletableFuture<>();
+  private volatile CallerLimits limits = new CallerLimits(2_000, 1_000, 60_000, 60_000);
   private Address address;
   private Closeable listener;
 
@@ -49,7 +50,7 @@
 
     @Override
     public CallerLimits limits() {
-      return new CallerLimits(2_000, 1_000, 60_000, 60_000);
+      return limits;
     }
   }
 
@@ -260,6 +261,55 @@
     }
   }
 
+  /** An open connection kept the limit that was in force when it was opened. */
+  @Test
+  void openConnectionIsNotClosedBeforeRaisedIdleTimeout() throws Exception {
+    limits = new CallerLimits(2_000, 1_000, 60_000, 600);
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      respond("");
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+
+      limits = new CallerLimits(2_000, 1_000, 60_000, 60_000);
+      Thread.sleep(1_500);
+      RawServer.write(socket, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+
+      assertThat(nextRequest()).isNotNull();
+    }
+  }
+
+  @Test
+  void openConnectionTakesRequestsOfRaisedSizes() throws Exception {
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      respond("");
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+
+      limits = new CallerLimits(16_384, 10_000, 60_000, 60_000);
+      RawServer.write(
+          socket,
+          "POST /b HTTP/1.1\r\nHost: x\r\nX: "
+              + "y".repeat(3_000)
+              + "\r\nContent-Length: 2000\r\n\r\n"
+              + "z".repeat(2_000));
+
+      assertThat(nextRequest().body()).hasSize(2_000);
+    }
+  }
+
+  @Test
+  void unfinishedRequestIsAnsweredWhenItsTimeIsOver() throws Exception {
+    limits = new CallerLimits(2_000, 1_000, 60_000, 300);
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\ny");
+
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 408");
+      assertThat(requests).isEmpty();
+    }
+  }
+
   /** Callers who were refused leave their connections open and return on new ones. */
   @Test
   void idleConnectionsHoldLittleMemory() throws Exception {
