A slow body is read while its bytes arrive

What callers saw: a connection closed in the middle of a request whose body took longer than idle_timeout_ms, although its bytes arrived all the while. Cause: the wait for the body began with the end of the head and was not renewed. Change: each part of the body renews it. Evidence: the test failed before (broken pipe).

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -378,6 +378,7 @@
         reject(HttpStatus.PAYLOAD_TOO_LARGE_413);
         return true;
       }
+      awaitedSinceMillis = MonotonicClock.millis();
       body.write(part, 0, part.length);
       return false;
     }
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -310,6 +310,20 @@
     }
   }
 
+  @Test
+  void slowBodyIsReadWhileItsBytesArrive() throws Exception {
+    limits = new CallerLimits(2_000, 1_000, 60_000, 1_000);
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\n");
+      for (int i = 0; i < 6; i++) {
+        Thread.sleep(400);
+        RawServer.write(socket, "y");
+      }
+
+      assertThat(nextRequest().body()).hasSize(6);
+    }
+  }
+
   /** Callers who were refused leave their connections open and return on new ones. */
   @Test
   void idleConnectionsHoldLittleMemory() throws Exception {
