A call that arrives as the shutdown ends is refused, and answers are written before it ends

What callers saw: a connection that ended without an answer beside a planned SIGTERM. In up to 0.3 s between the end of the last request and the end of the process, while order leases are released, further calls were read, passed on to a replica and cut off; an answer that a slow reader had not yet taken was cut off with the process. Cause: the process looked for running requests once, went on accepting others afterwards, and took an answer that was only queued as written. Change: when no request is under way any more, further ones are refused from that moment on; an answer is under way until it is written. Evidence: the call was answered with 200 after the end of the shutdown before, and is refused now.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -232,9 +232,18 @@
     return isResponseStarted;
   }
 
+  /**
+   * Returns whether a request is being answered or a part of its response is yet to be written.
+   *
+   * @return true until the whole response was written
+   */
+  public boolean isAnswering() {
+    return !isClosed() && (isResponding || isWritePending());
+  }
+
   /** Closes the connection if no request is being read or answered. */
   public void closeIfIdle() {
-    if (!isResponding && parser.isStart()) {
+    if (!isAnswering() && !isClosing() && parser.isStart()) {
       stopTimer();
       disconnect();
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -76,6 +76,7 @@
   private final CacheStorePoller cacheStorePoller;
   private FleetExchange fleet;
   private boolean isShuttingDown;
+  private boolean isStopping;
   private long shutdownStartMillis;
   private boolean wasReady;
 
@@ -247,17 +248,29 @@
         });
     long limit = (long) (settings.shutdownMillis() * SHUTDOWN_SHARE);
     while (MonotonicClock.millis() - start < limit) {
-      if (MonotonicClock.millis() - start > BALANCER_DELAY_MILLIS && isIdle()) {
+      if (MonotonicClock.millis() - start > BALANCER_DELAY_MILLIS && stopIfIdle()) {
         break;
       }
       if (!sleep()) {
         break;
       }
     }
+    loop.run(() -> isStopping = true);
     releaseLeases();
+    while (MonotonicClock.millis() - start < limit && !isIdle()) {
+      if (!sleep()) {
+        break;
+      }
+    }
     loop.run(() -> context.log().event("stopped", "running", exchanges.size()));
   }
 
+  /** Refuses all further requests if none is under way, as none could be finished any more. */
+  private boolean stopIfIdle() {
+    loop.run(() -> isStopping = isIdle());
+    return isStopping;
+  }
+
   /**
    * Releases the order leases, so that another instance need not wait for the end of their term.
    */
@@ -298,7 +311,8 @@
         () -> {
           exchanges.removeIf(Exchange::isDone);
           connections.forEach(CallerConnection::closeIfIdle);
-          isIdle[0] = exchanges.isEmpty();
+          isIdle[0] =
+              exchanges.isEmpty() && connections.stream().noneMatch(CallerConnection::isAnswering);
         });
     return isIdle[0];
   }
@@ -326,7 +340,9 @@
     @Override
     public void requestReceived(CallerConnection connection, InboundRequest inbound) {
       connections.add(connection);
-      if (isShuttingDown && MonotonicClock.millis() - shutdownStartMillis > LAST_REQUEST_MILLIS) {
+      boolean isTooLate =
+          isShuttingDown && MonotonicClock.millis() - shutdownStartMillis > LAST_REQUEST_MILLIS;
+      if (isStopping || isTooLate) {
         context.log().event("refused", "reason", "this instance is shutting down");
         HttpFields fields = CallFormat.gatewayResponse("", "this instance is shutting down", 0);
         connection.respond(503, fields, new byte[0]);
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -218,7 +218,7 @@
       RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
       nextRequest();
       int pipelinedBytes = 300_000;
-      Thread writer =
+      final Thread writer =
           Thread.ofVirtual()
               .start(
                   () -> {
@@ -324,6 +324,32 @@
     }
   }
 
+  @Test
+  void answerThatIsNotYetWrittenCountsAsBeingAnswered() throws Exception {
+    int bodyBytes = 4 * 1_024 * 1_024;
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      CallerConnection connection = connections.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      boolean[] isAnswering = new boolean[1];
+      loop.run(
+          () -> {
+            connection.respond(200, HttpFields.EMPTY, new byte[bodyBytes]);
+            isAnswering[0] = connection.isAnswering();
+          });
+      assertThat(isAnswering[0]).isTrue();
+
+      RawServer.readHead(socket);
+      assertThat(socket.getInputStream().readNBytes(bodyBytes)).hasSize(bodyBytes);
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+      while (isAnswering[0] && System.nanoTime() < deadline) {
+        Thread.sleep(10);
+        loop.run(() -> isAnswering[0] = connection.isAnswering());
+      }
+      assertThat(isAnswering[0]).isFalse();
+    }
+  }
+
   /** Callers who were refused leave their connections open and return on new ones. */
   @Test
   void idleConnectionsHoldLittleMemory() throws Exception {
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -375,6 +375,18 @@
     }
   }
 
+  /** The process ends as soon as the shutdown is over, whatever is under way. */
+  @Test
+  void callThatArrivesWhenShutdownIsOverIsRefusedAndNotPassedOn() throws Exception {
+    gateway.shutDown();
+
+    HttpResponse<String> response =
+        send(request("/once/a").POST(HttpRequest.BodyPublishers.ofString("defect")));
+
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(executedCount("plain")).isZero();
+  }
+
   @Test
   void drainingReplicaGetsNoNewCalls() throws Exception {
     metadataStore.put("servers", "p0", replicas.get(0).entry("plain", "draining"));
