--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -2,6 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.function.ToLongFunction;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.site.CallerLimits;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
@@ -10,8 +12,11 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.EndPoint;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A caller's connection, which reads one request at a time and writes its response.
@@ -27,11 +32,13 @@
 public final class CallerConnection extends HttpConnection {
 
   /**
-   * Maximum bytes of pipelined requests buffered while a request is being answered; beyond it the
-   * connection is closed.
+   * Bytes of pipelined requests buffered while a request is being answered, beyond which no more
+   * are read. The end of the connection is not noticed then.
    */
   private static final int MAX_PIPELINED_BYTES = 64 * 1_024;
 
+  private static final Logger log = LoggerFactory.getLogger("net");
+
   private static final ByteBuffer CONTINUE =
       ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes()).asReadOnlyBuffer();
 
@@ -47,15 +54,15 @@
     void requestReceived(CallerConnection connection, InboundRequest request);
 
     /**
-     * The caller disconnected, or was disconnected because it pipelined too many bytes, before its
-     * request was answered.
+     * The caller disconnected before its request was answered.
      *
      * @param connection the closed connection
      */
     default void callerDisconnected(CallerConnection connection) {}
 
     /**
-     * Returns the limits for requests on new connections.
+     * Returns the limits for requests. They apply to open connections from their next request or
+     * wait on.
      *
      * @return the limits in force
      */
@@ -74,8 +81,8 @@
   }
 
   private final Handler handler;
-  private final HttpParser parser;
-  private final CallerLimits limits;
+  private HttpParser parser;
+  private int parserHeaderBytes;
   private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private ByteBuffer pipelined;
   private HttpFields.Mutable fields = HttpFields.build();
@@ -88,14 +95,19 @@
   private boolean isParsing;
   private boolean isParserResetPending;
   private EventLoop.Timer timer;
+  private ToLongFunction<CallerLimits> awaited;
+  private long awaitedSinceMillis;
   private Object attachment;
 
   CallerConnection(EventLoop loop, EndPoint endPoint, Handler handler) {
     super(loop, endPoint);
     this.handler = handler;
-    this.limits = handler.limits();
-    this.parser =
-        new HttpParser(new RequestParserHandler(), limits.headerBytes(), HttpCompliance.RFC7230);
+    createParser(handler.limits().headerBytes());
+  }
+
+  private void createParser(int headerBytes) {
+    parserHeaderBytes = headerBytes;
+    parser = new HttpParser(new RequestParserHandler(), headerBytes, HttpCompliance.RFC7230);
     parser.setHeaderCacheSize(0);
   }
 
@@ -199,6 +211,9 @@
       pipelined = null;
       received(bytes);
     }
+    if (pipelined == null) {
+      resumeReading();
+    }
   }
 
   /** Closes the connection so that the caller detects that the response is incomplete. */
@@ -217,9 +232,18 @@
     return isResponseStarted;
   }
 
+  /**
+   * Returns whether a request is being answered or a part of its response is yet to be written.
+   *
+   * @return true until the whole response was written
+   */
+  public boolean isAnswering() {
+    return !isClosed() && (isResponding || isWritePending());
+  }
+
   /** Closes the connection if no request is being read or answered. */
   public void closeIfIdle() {
-    if (!isResponding && parser.isStart()) {
+    if (!isAnswering() && !isClosing() && parser.isStart()) {
       stopTimer();
       disconnect();
     }
@@ -227,13 +251,13 @@
 
   @Override
   void received(ByteBuffer bytes) {
-    while (bytes.hasRemaining() && !isClosed()) {
+    while (bytes.hasRemaining() && !isClosing()) {
       if (isResponding) {
         bufferPipelined(bytes);
         return;
       }
       if (parser.isStart()) {
-        startTimer(limits.headerTimeoutMillis());
+        beginRequest();
       }
       if (parser.isState(HttpParser.State.CLOSE) || parser.isState(HttpParser.State.CLOSED)) {
         return;
@@ -248,6 +272,14 @@
     }
   }
 
+  private void beginRequest() {
+    int headerBytes = handler.limits().headerBytes();
+    if (headerBytes != parserHeaderBytes) {
+      createParser(headerBytes);
+    }
+    startTimer(CallerLimits::headerTimeoutMillis);
+  }
+
   @Override
   void ended(boolean isReset, String detail) {
     stopTimer();
@@ -258,32 +290,46 @@
 
   private void bufferPipelined(ByteBuffer bytes) {
     int bufferedBytes = pipelined == null ? 0 : pipelined.remaining();
-    if (bufferedBytes + bytes.remaining() > MAX_PIPELINED_BYTES) {
-      handler.callerDisconnected(this);
-      abort();
-      return;
-    }
     ByteBuffer all = ByteBuffer.allocate(bufferedBytes + bytes.remaining());
     if (pipelined != null) {
       all.put(pipelined);
     }
     pipelined = all.put(bytes).flip();
+    if (pipelined.remaining() > MAX_PIPELINED_BYTES) {
+      pauseReading();
+    }
   }
 
   private void awaitRequest() {
     isResponseStarted = false;
     fields = HttpFields.build();
-    startTimer(limits.idleTimeoutMillis());
+    startTimer(CallerLimits::idleTimeoutMillis);
   }
 
-  private void startTimer(long millis) {
+  /** Starts to wait for the caller, for as long as the limit in force at the end of the wait. */
+  private void startTimer(ToLongFunction<CallerLimits> limit) {
     stopTimer();
-    timer = loop.after(millis, this::timedOut);
+    awaited = limit;
+    awaitedSinceMillis = MonotonicClock.millis();
+    timer = loop.after(limit.applyAsLong(handler.limits()), this::waitEnded);
   }
 
-  private void timedOut() {
-    if (!isResponding) {
+  private void waitEnded() {
+    if (isResponding || isClosing()) {
+      return;
+    }
+    long waitedMillis = MonotonicClock.millis() - awaitedSinceMillis;
+    long limitMillis = awaited.applyAsLong(handler.limits());
+    if (waitedMillis < limitMillis) {
+      timer = loop.after(limitMillis - waitedMillis, this::waitEnded);
+    } else if (parser.isStart()) {
       disconnect();
+    } else {
+      log.info(
+          "net: request cut off, its caller sent nothing for {} ms (limit {} ms).",
+          waitedMillis,
+          limitMillis);
+      reject(HttpStatus.REQUEST_TIMEOUT_408);
     }
   }
 
@@ -325,11 +371,11 @@
 
     @Override
     public boolean headerComplete() {
-      if (parser.getContentLength() > limits.bodyBytes()) {
-        reject(413);
+      if (parser.getContentLength() > handler.limits().bodyBytes()) {
+        reject(HttpStatus.PAYLOAD_TOO_LARGE_413);
         return true;
       }
-      startTimer(limits.idleTimeoutMillis());
+      startTimer(CallerLimits::idleTimeoutMillis);
       return false;
     }
 
@@ -337,10 +383,11 @@
     public boolean content(ByteBuffer bytes) {
       byte[] part = new byte[bytes.remaining()];
       bytes.get(part);
-      if (body.size() + part.length > limits.bodyBytes()) {
-        reject(413);
+      if (body.size() + part.length > handler.limits().bodyBytes()) {
+        reject(HttpStatus.PAYLOAD_TOO_LARGE_413);
         return true;
       }
+      awaitedSinceMillis = MonotonicClock.millis();
       body.write(part, 0, part.length);
       return false;
     }
@@ -352,7 +399,7 @@
 
     @Override
     public boolean messageComplete() {
-      if (isResponding || isClosed()) {
+      if (isResponding || isClosing()) {
         return true;
       }
       stopTimer();
@@ -370,7 +417,7 @@
 
     @Override
     public void badMessage(HttpException failure) {
-      if (!isResponding) {
+      if (!isResponding && !isClosing()) {
         reject(failure.getCode());
       }
     }
