One unreadable object of the store no longer hides the others of its list or watch

What callers saw: once other software had put an entry with 3,000 nested lists or a number of 3,000 digits beside those of the replicas, requests went on to replicas that had announced that they leave and none to their successors. With such an entry there at the start, every call was refused.

Cause: a list or the result of a watch was parsed as one document, so the parser's bounds on depth and on the length of numbers, and any malformed byte, applied to all objects together. The watch then repeated the same call from the same revision and failed again.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
@@ -5,7 +5,9 @@
 import org.bulrushpier.adapter.SiteFormat;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
+import org.bulrushpier.adapter.StoreFormat.ReadableObject;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
+import org.bulrushpier.adapter.StoreFormat.UnreadableObject;
 import org.bulrushpier.site.Configuration;
 
 /**
@@ -49,6 +51,14 @@
     if (!value.name().equals(CONFIGURATION_NAME)) {
       return;
     }
+    switch (value) {
+      case ReadableObject readable -> accept(readable, sent);
+      case UnreadableObject unreadable ->
+          context.logChange("configuration-unreadable", unreadable.name(), unreadable.defect());
+    }
+  }
+
+  private void accept(ReadableObject value, Moment sent) {
     try {
       Configuration read =
           SiteFormat.configuration(
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
@@ -7,7 +7,9 @@
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.SiteFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
+import org.bulrushpier.adapter.StoreFormat.ReadableObject;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
+import org.bulrushpier.adapter.StoreFormat.UnreadableObject;
 import org.bulrushpier.replica.ReplicaTable.Change;
 
 /**
@@ -53,6 +55,14 @@
   }
 
   private void put(StoreObject value) {
+    switch (value) {
+      case ReadableObject readable -> put(readable);
+      case UnreadableObject unreadable ->
+          context.logChange("replica-unreadable", unreadable.name(), unreadable.defect());
+    }
+  }
+
+  private void put(ReadableObject value) {
     try {
       Change change = context.replicas().put(SiteFormat.replica(value.name(), value.content()));
       if (change != Change.NONE) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -16,7 +16,9 @@
 import org.bulrushpier.adapter.EngineFormat;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
+import org.bulrushpier.adapter.StoreFormat.ReadableObject;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
+import org.bulrushpier.adapter.StoreFormat.UnreadableObject;
 import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.EngineChange;
@@ -133,10 +135,16 @@
   }
 
   private void observe(StoreObject value, boolean isRemoved) {
-    if (!isRemoved && !value.name().isEmpty()) {
-      rollouts
-          .computeIfAbsent(value.name(), Rollout::new)
-          .observed(EngineFormat.leaseRecord(value.content()), value.revision());
+    if (isRemoved) {
+      return;
+    }
+    switch (value) {
+      case ReadableObject readable ->
+          rollouts
+              .computeIfAbsent(readable.name(), Rollout::new)
+              .observed(EngineFormat.leaseRecord(readable.content()), readable.revision());
+      case UnreadableObject unreadable ->
+          context.logChange("lease-unreadable", unreadable.name(), unreadable.defect());
     }
   }
 
@@ -419,8 +427,7 @@
           StoreObject other = StoreFormat.value(outcome.body());
           lease.recordConflict();
           changing.clear();
-          lease.recordRead(
-              EngineFormat.leaseRecord(other.content()), other.revision(), Moment.now());
+          recordOther(other);
           context.log().event("lease-refused", "model", model, "revision", other.revision());
         } else {
           nextWriteMillis = MonotonicClock.millis() + WRITE_PAUSE_MILLIS;
@@ -440,6 +447,16 @@
       }
     }
 
+    private void recordOther(StoreObject other) {
+      switch (other) {
+        case ReadableObject readable ->
+            lease.recordRead(
+                EngineFormat.leaseRecord(readable.content()), readable.revision(), Moment.now());
+        case UnreadableObject unreadable ->
+            context.logChange("lease-unreadable", model, unreadable.defect());
+      }
+    }
+
     /** Returns the ids of the engines that are changing or may begin to at any time. */
     private Set<String> activeChanges() {
       Set<String> active = new LinkedHashSet<>();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
@@ -7,7 +7,9 @@
 import org.bulrushpier.adapter.SiteFormat;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
+import org.bulrushpier.adapter.StoreFormat.ReadableObject;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
+import org.bulrushpier.adapter.StoreFormat.UnreadableObject;
 import org.bulrushpier.rollout.RequestInterval;
 import org.bulrushpier.rollout.TargetWeights;
 
@@ -44,6 +46,14 @@
   }
 
   private void accept(StoreObject value, String source, Moment notBefore) {
+    switch (value) {
+      case ReadableObject readable -> accept(readable, source, notBefore);
+      case UnreadableObject unreadable ->
+          context.logChange("weights-unreadable", unreadable.name(), unreadable.defect());
+    }
+  }
+
+  private void accept(ReadableObject value, String source, Moment notBefore) {
     try {
       SiteFormat.RequestedWeights requested = SiteFormat.weights(value.content());
       RequestInterval interval = new RequestInterval(notBefore, Moment.now());
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
@@ -76,6 +77,17 @@
     commit(kind + "/" + name, json.readTree(content));
   }
 
+  /**
+   * Writes an object whose spec need not be valid JSON, in place of other software.
+   *
+   * @param kind the kind
+   * @param name the name
+   * @param spec the spec, which is returned as it is
+   */
+  public synchronized void putRaw(String kind, String name, String spec) {
+    commit(kind + "/" + name, json.getNodeFactory().rawValueNode(new RawValue(spec)));
+  }
+
   /**
    * Writes a replica's registry entry unless it is already stored or the store is down.
    *
