Responses without an id are not attributed on a kept connection

Callers of a route that may run once were told 503, "has not run", for requests that a replica had run or was running, and such a request ran at a second replica; successes and errors of other requests could reach them the same way.

Cause: a response that names no request was taken for the one to the pending request. On a connection that has carried another request before, it may as well be a late copy of an earlier response. Only on a connection that has carried no other request can it be attributed.

OutboundConnection now states with each head whether the response can be attributed without an id, and a response that can't is discarded like one that names another request; the attempt goes on waiting for its own response, within its deadline. Discarded responses are logged with request, replica, status, the id that they name and whether they could be attributed. The fake replica names the request in its refusals too, as replicas do.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
@@ -43,9 +43,11 @@
   private final HttpParser parser;
   private OutboundRequest request;
   private HttpFields.Mutable fields = HttpFields.build();
+  private int requests;
   private int status;
   private int interimResponses;
   private boolean isMismatched;
+  private boolean hasMismatched;
   private boolean isPersistent = true;
   private boolean isResponsePending;
   private boolean isHttp11;
@@ -100,6 +102,7 @@
 
   void send(OutboundRequest outbound) {
     request = outbound;
+    requests++;
     isResponsePending = true;
     isMismatched = false;
     interimResponses = 0;
@@ -244,9 +247,12 @@
       if (request == null || status < FIRST_FINAL_STATUS) {
         return false;
       }
-      ResponseHead head = new ResponseHead(status, fields, parser.getContentLength());
+      ResponseHead head =
+          new ResponseHead(
+              status, fields, parser.getContentLength(), requests == 1 && !hasMismatched);
       isMismatched = !request.listener().matches(head);
       if (isMismatched) {
+        hasMismatched = true;
         log.info(
             "net: {} sent a response to another request; response discarded.", group.address());
       } else {
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ResponseHead.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ResponseHead.java
@@ -8,5 +8,7 @@
  * @param status the status code
  * @param fields the header fields in their order
  * @param length the declared length of the body in bytes, or -1
+ * @param isAttributable whether the response can belong only to the pending request even if it
+ *     names none, because no other request was sent on the connection
  */
-public record ResponseHead(int status, HttpFields fields, long length) {}
+public record ResponseHead(int status, HttpFields fields, long length, boolean isAttributable) {}
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -664,8 +664,25 @@
 
     @Override
     public boolean matches(ResponseHead read) {
-      String id = CallFormat.upstreamResponse(read.status(), read.fields()).requestId();
-      return id.isEmpty() || id.equals(request.id());
+      UpstreamResponse candidate = CallFormat.upstreamResponse(read.status(), read.fields());
+      boolean matches = candidate.isResponseTo(request.id(), read.isAttributable());
+      if (!matches) {
+        context
+            .log()
+            .event(
+                "response-discarded",
+                "request",
+                request.id(),
+                "replica",
+                replica.entry().id(),
+                "status",
+                candidate.status(),
+                "responseTo",
+                candidate.requestId(),
+                "attributable",
+                read.isAttributable());
+      }
+      return matches;
     }
 
     @Override
--- a/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
+++ b/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
@@ -38,6 +38,18 @@
    */
   public record ReportedLoad(int running, int waiting, int slots) {}
 
+  /**
+   * Checks whether this response belongs to a request. A response that names no request may be one
+   * to an earlier request on the same connection.
+   *
+   * @param request the id of the request
+   * @param isAttributable whether no other request was sent on the connection
+   * @return true if it names the request, or names none and can belong to no other
+   */
+  public boolean isResponseTo(String request, boolean isAttributable) {
+    return requestId.isEmpty() ? isAttributable : requestId.equals(request);
+  }
+
   /**
    * Checks whether the request certainly was not executed.
    *
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -10,9 +10,11 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.bulrushpier.Address;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.Faults;
@@ -92,6 +94,7 @@
   private final CountDownLatch released = new CountDownLatch(1);
   private final AtomicLong endlessBytes = new AtomicLong();
   private Behaviour behaviour = Behaviour.ANSWER;
+  private Function<Execution, Optional<RawResponse>> script = execution -> Optional.empty();
   private Pace pace = new Pace(0, 0, 0);
   private OrderBehaviour orderBehaviour = OrderBehaviour.PROMPT;
   private long ordersDelayedUntilMillis;
@@ -127,6 +130,14 @@
     }
   }
 
+  /**
+   * The bytes that a replica sends for an executed request in place of its usual response.
+   *
+   * @param text the bytes
+   * @param isLast whether the replica closes the connection after them
+   */
+  public record RawResponse(String text, boolean isLast) {}
+
   private ReplicaFake(String id, int slots, Consumer<Execution> listener) throws IOException {
     this.id = id;
     this.slots = slots;
@@ -195,6 +206,15 @@
     behaviour = next;
   }
 
+  /**
+   * Changes what is sent for subsequent requests that are executed.
+   *
+   * @param next returns the bytes to send for a request, or empty for the usual response
+   */
+  public synchronized void setScript(Function<Execution, Optional<RawResponse>> next) {
+    script = next;
+  }
+
   /**
    * Changes the duration of subsequent work.
    *
@@ -377,6 +397,7 @@
     Behaviour current;
     Execution execution = null;
     boolean isMisdirected;
+    Optional<RawResponse> raw = Optional.empty();
     synchronized (this) {
       current = behaviour;
       String expectedVersion = request.header("expect-version");
@@ -387,21 +408,29 @@
         execution = new Execution(id, version, request.target(), request.headers(), request.body());
         executions.add(execution);
         listener.accept(execution);
+        raw = script.apply(execution);
       }
     }
+    String idHeader = "Attempt-Id: " + request.header("attempt-id") + "\r\n";
     if (isMisdirected) {
       return sendAll(
-          socket, "HTTP/1.1 421 X\r\nInstance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+          socket,
+          "HTTP/1.1 421 X\r\n" + idHeader + "Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
     }
-    String attemptHeaders =
-        "Attempt-Id: " + request.header("attempt-id") + "\r\nServer-Seal: " + id + "\r\n";
+    String attemptHeaders = idHeader + "Server-Seal: " + id + "\r\n";
     if (execution != null) {
       attemptHeaders += weightsHeader(execution);
       Faults.sleep(startMillis());
     }
+    if (raw.isPresent()) {
+      RawHttpServer.send(socket, raw.get().text());
+      return !raw.get().isLast();
+    }
     return switch (current) {
       case REFUSE ->
-          sendAll(socket, "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+          sendAll(
+              socket,
+              "HTTP/1.1 503 X\r\n" + idHeader + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       case LOSE_ANSWER -> false;
       case FAIL ->
           sendAll(socket, "HTTP/1.1 500 X\r\n" + attemptHeaders + "Content-Length: 4\r\n\r\nfail");
