Log and count what ended a response that had begun

Callers saw streams end in the middle, and the cut line told no more than the reason for which no other upstream was found.

The lines cut and failed have how the last attempt ended, the number of sends and the time since the configuration changed; cut also has the time without an event and the last event. A counter tells by the same reasons how many connections of callers ended within a response.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
@@ -55,6 +55,7 @@
               value.content(),
               finding -> context.logChange("configuration-finding", "main", finding));
       if (context.configuration().accept(read, sent)) {
+        context.configurationChanged();
         context.logChange(
             "configuration", "version " + read.version(), "revision " + value.revision());
       }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -96,6 +96,7 @@
   private long lastProgressMillis;
   private long firstEventAfterMillis = -1;
   private long longestPauseMillis;
+  private String attemptEnd = "";
 
   Exchange(
       GatewayContext context,
@@ -344,9 +345,7 @@
       current.cancel("timeout");
     }
     if (caller.isResponseStarted()) {
-      context.log().event("cut", "request", request.id(), "reason", "timeout");
-      finish("cut");
-      caller.abort();
+      cut("timeout");
     } else if (mayHaveRun) {
       fail(504, "no answer in time");
     } else {
@@ -359,6 +358,9 @@
     if (attempt != null) {
       attempt.cancel("caller disconnected");
     }
+    if (caller.isResponseStarted()) {
+      context.metrics().interrupted("caller disconnected");
+    }
     context.log().event("left", "request", request.id(), "afterMs", elapsedMillis());
     finish("left");
   }
@@ -373,9 +375,7 @@
 
   private void giveUp(String reason, long retryAfterMillis) {
     if (caller.isResponseStarted()) {
-      context.log().event("cut", "request", request.id(), "reason", reason);
-      finish("cut");
-      caller.abort();
+      cut(reason);
     } else if (mayHaveRun) {
       fail(502, reason);
     } else {
@@ -383,6 +383,33 @@
     }
   }
 
+  /** Ends a response that has begun, so that the caller sees that it is incomplete. */
+  private void cut(String reason) {
+    context
+        .log()
+        .event(
+            "cut",
+            "request",
+            request.id(),
+            "reason",
+            reason,
+            "attemptEnd",
+            attemptEnd,
+            "silentMs",
+            MonotonicClock.millis() - lastProgressMillis,
+            "lastEvent",
+            lastEvent,
+            "sends",
+            attempts,
+            "afterMs",
+            elapsedMillis(),
+            "sinceConfigurationMs",
+            context.sinceConfigurationMillis());
+    context.metrics().interrupted(attemptEnd);
+    finish("cut");
+    caller.abort();
+  }
+
   private void refuse(String reason, long retryAfterMillis) {
     context
         .log()
@@ -428,10 +455,14 @@
             status,
             "reason",
             reason,
+            "attemptEnd",
+            attemptEnd,
             "sends",
             attempts,
             "afterMs",
-            elapsedMillis());
+            elapsedMillis(),
+            "sinceConfigurationMs",
+            context.sinceConfigurationMillis());
     respond("failed", status, reason, -1);
   }
 
@@ -627,6 +658,7 @@
 
     void cancel(String reason) {
       if (!isEnded) {
+        attemptEnd = reason;
         long now = MonotonicClock.millis();
         if (outbound.isSent() && !inFlight.isStarted() && inFlight.isOverdue(now)) {
           replica.breaker().failed(now);
@@ -805,6 +837,7 @@
     }
 
     private void handleRefusal() {
+      attemptEnd = "upstream refused";
       context
           .log()
           .event(
@@ -875,6 +908,7 @@
         place();
         return;
       }
+      attemptEnd = "upstream failed";
       replica.breaker().failed(MonotonicClock.millis());
       context
           .log()
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
 import org.bulrushpier.fleet.PeerLoads;
@@ -60,6 +61,7 @@
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, PlacementQueue<Exchange>> placementQueues = new HashMap<>();
   private int mostInstances = 1;
+  private long configurationChangedMillis = MonotonicClock.millis();
 
   GatewayContext(EventLoop loop, Supplier<GatewaySettings> settings) {
     this.loop = loop;
@@ -92,6 +94,16 @@
     return configuration;
   }
 
+  /** Records that another configuration is in force from now on. */
+  void configurationChanged() {
+    configurationChangedMillis = MonotonicClock.millis();
+  }
+
+  /** Returns the time since the configuration changed or the process started, in milliseconds. */
+  long sinceConfigurationMillis() {
+    return MonotonicClock.millis() - configurationChangedMillis;
+  }
+
   ReplicaTable replicas() {
     return replicas;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -34,6 +34,7 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<String, Counter> outcomes = new HashMap<>();
+  private final Map<String, Counter> interrupted = new HashMap<>();
   private final Timer answers = timer("bulrushpier.answer", "Time to the end of an answer");
   private final Timer firstEvents =
       timer("bulrushpier.first.event", "Time to the first event of a stream");
@@ -76,6 +77,23 @@
         .increment();
   }
 
+  /**
+   * Counts a caller's connection that ends within a response.
+   *
+   * @param reason how the last attempt ended, out of a fixed set
+   */
+  void interrupted(String reason) {
+    interrupted
+        .computeIfAbsent(
+            reason,
+            name ->
+                Counter.builder("bulrushpier.answers.interrupted")
+                    .description("Connections of callers that ended within a response")
+                    .tag("reason", name)
+                    .register(registry))
+        .increment();
+  }
+
   void answered(long millis) {
     answers.record(Duration.ofMillis(millis));
   }
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -458,6 +458,10 @@
   void metricsCountRequestsByOutcome() throws Exception {
     assertThat(send(request("/safe/a")).statusCode()).isEqualTo(200);
     assertThat(send(request("/nowhere/a")).statusCode()).isEqualTo(404);
+    setBehaviour("engines", Behaviour.CUT_STREAM);
+    assertThat(
+            client.sendAsync(generation("/note/a").build(), HttpResponse.BodyHandlers.ofString()))
+        .failsWithin(Duration.ofSeconds(60));
 
     HttpResponse<String> metrics =
         send(HttpRequest.newBuilder(URI.create("http://" + settings.metricsAddress() + "/")));
@@ -465,6 +469,7 @@
     assertThat(metrics.body())
         .contains("bulrushpier_requests_total{outcome=\"answered\"} 1.0")
         .contains("bulrushpier_requests_total{outcome=\"denied\"} 1.0")
+        .contains("bulrushpier_answers_interrupted_total{reason=\"upstream failed\"} 1.0")
         .contains("bulrushpier_answer_seconds_bucket");
   }
 
