A response that is no event stream is not written into a stream

A stream broke off, the next replica answered with an error: callers read its head and text in the middle of their stream, with the connection left open. A sealed 204 or a body of another type ended the stream as if it were complete, and a 206 was joined to it. A first response to a streaming route that was no event stream lost the text after its last empty line and looked complete.

Cause: whether a response belongs to a stream was decided from "sealed, 2xx" and from the stream having begun, and everything else was forwarded as a response of its own, also where the caller's response had begun.

A response begins or continues a stream only if it is a sealed 200 with an event stream that has no content coding. Once the stream has begun, any other response counts as lost: the stream is resumed elsewhere where route, attempts, budget and time allow, and cut off otherwise. Before that, a response that is no event stream is forwarded whole, with its length.

The tests of responses without an id went by the time that a call takes to open connections to both replicas, and one of them failed beside load; they now use calls of which the replica itself says whether they are the first on their connection.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -469,6 +469,7 @@
     private int weightVersion;
     private ResponseHead head;
     private UpstreamResponse response;
+    private boolean isForwardingEvents;
     private boolean isEnded;
 
     Attempt(Replica replica, Placement.Send placement) {
@@ -719,7 +720,7 @@
       if (outdatedMillis > 0) {
         logOutdatedStart(outdatedMillis, now - inFlight.sentMillis());
       }
-      if (route.kind() == RouteKind.STREAM) {
+      if (route.kind() == RouteKind.STREAM && response.isEventStream()) {
         if (placement.isAlone() && placement.cache().transferMillis() == 0) {
           context
               .prefillRate()
@@ -730,6 +731,7 @@
     }
 
     private void startStream() {
+      isForwardingEvents = true;
       lastProgressMillis = MonotonicClock.millis();
       if (!isStreaming) {
         isStreaming = true;
@@ -743,7 +745,7 @@
       if (isEnded) {
         return;
       }
-      if (isStreaming && response.isSuccess()) {
+      if (isForwardingEvents) {
         splitter.feed(bytes, this::forwardEvent);
         if (splitter.isTooLong()) {
           rejectResponse("an event of the stream is too long");
@@ -803,16 +805,16 @@
           MonotonicClock.millis());
       if (response.isRefusal()) {
         handleRefusal();
-      } else if (response.isSuccess() && isStreaming) {
+      } else if (isForwardingEvents) {
         streamEnded();
       } else if (!response.isSigned() || response.isEncoded()) {
         replica.breaker().failed(MonotonicClock.millis());
         mayHaveRun = true;
         responseLost("an answer that is not the upstream's, status " + response.status());
-      } else if (response.isServerError()
-          && route.isRepeatable()
-          && !isStreaming
-          && tryAcquireRetry()) {
+      } else if (isStreaming) {
+        mayHaveRun = true;
+        responseLost("an answer that cannot continue the stream, status " + response.status());
+      } else if (response.isServerError() && route.isRepeatable() && tryAcquireRetry()) {
         mayHaveRun = true;
         triedReplicas.add(replica.entry().id());
         place();
--- a/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
+++ b/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
@@ -25,6 +25,7 @@
     Optional<ReportedLoad> load) {
 
   private static final int MISDIRECTED = 421;
+  private static final int OK = 200;
   private static final int MIN_SUCCESS = 200;
   private static final int MIN_REDIRECT = 300;
   private static final int MIN_SERVER_ERROR = 500;
@@ -73,6 +74,15 @@
     return status >= MIN_SUCCESS && status < MIN_REDIRECT && isSigned && !isEncoded;
   }
 
+  /**
+   * Checks whether the body is a series of events that may begin or continue a stream.
+   *
+   * @return true for a signed 200 status with an event stream that has no content coding
+   */
+  public boolean isEventStream() {
+    return status == OK && isSuccess() && isStream;
+  }
+
   /**
    * Checks whether the upstream failed to execute the request, so that a retry may succeed.
    *
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/RawHttpServer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/RawHttpServer.java
@@ -41,8 +41,10 @@
    * @param target the path and query
    * @param headers the header fields by lower-case name
    * @param body the body
+   * @param isFirst whether it is the first request on its connection
    */
-  record Request(String method, String target, Map<String, String> headers, String body) {
+  record Request(
+      String method, String target, Map<String, String> headers, String body, boolean isFirst) {
     String header(String name) {
       return headers.getOrDefault(name, "");
     }
@@ -87,9 +89,9 @@
   private void serve(Socket socket) {
     try (socket) {
       InputStream in = new BufferedInputStream(socket.getInputStream());
-      Request request = readRequest(in);
+      Request request = readRequest(in, true);
       while (request != null && handler.handle(request, socket)) {
-        request = readRequest(in);
+        request = readRequest(in, false);
       }
     } catch (IOException e) {
       // The peer closed the connection, which is expected at any point of an exchange.
@@ -98,7 +100,7 @@
     }
   }
 
-  private static Request readRequest(InputStream in) throws IOException {
+  private static Request readRequest(InputStream in, boolean isFirst) throws IOException {
     String requestLine = readLine(in);
     if (requestLine == null) {
       return null;
@@ -113,7 +115,11 @@
     }
     byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
     return new Request(
-        requestParts[0], requestParts[1], headers, new String(body, StandardCharsets.UTF_8));
+        requestParts[0],
+        requestParts[1],
+        headers,
+        new String(body, StandardCharsets.UTF_8),
+        isFirst);
   }
 
   /** Reads a line; returns null if the connection ends before the end of the line. */
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.bulrushpier.Address;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.Faults;
@@ -94,7 +93,7 @@
   private final CountDownLatch released = new CountDownLatch(1);
   private final AtomicLong endlessBytes = new AtomicLong();
   private Behaviour behaviour = Behaviour.ANSWER;
-  private Function<Execution, Optional<RawResponse>> script = execution -> Optional.empty();
+  private Script script = (execution, isFirst) -> Optional.empty();
   private Pace pace = new Pace(0, 0, 0);
   private OrderBehaviour orderBehaviour = OrderBehaviour.PROMPT;
   private long ordersDelayedUntilMillis;
@@ -138,6 +137,19 @@
    */
   public record RawResponse(String text, boolean isLast) {}
 
+  /** Decides what a replica sends for an executed request. */
+  public interface Script {
+
+    /**
+     * Returns what to send for a request.
+     *
+     * @param execution the request
+     * @param isFirst whether it is the first one on its connection
+     * @return the bytes, or empty for the usual response
+     */
+    Optional<RawResponse> response(Execution execution, boolean isFirst);
+  }
+
   private ReplicaFake(String id, int slots, Consumer<Execution> listener) throws IOException {
     this.id = id;
     this.slots = slots;
@@ -209,9 +221,9 @@
   /**
    * Changes what is sent for subsequent requests that are executed.
    *
-   * @param next returns the bytes to send for a request, or empty for the usual response
+   * @param next the new script
    */
-  public synchronized void setScript(Function<Execution, Optional<RawResponse>> next) {
+  public synchronized void setScript(Script next) {
     script = next;
   }
 
@@ -408,7 +420,7 @@
         execution = new Execution(id, version, request.target(), request.headers(), request.body());
         executions.add(execution);
         listener.accept(execution);
-        raw = script.apply(execution);
+        raw = script.response(execution, request.isFirst());
       }
     }
     String idHeader = "Attempt-Id: " + request.header("attempt-id") + "\r\n";
--- a/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
@@ -1,8 +1,10 @@
 package org.bulrushpier.rig;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -11,7 +13,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.bulrushpier.Finding;
@@ -19,13 +20,14 @@
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
 import org.bulrushpier.rig.gateway.ReplicaFake;
 import org.bulrushpier.rig.gateway.ReplicaFake.Execution;
-import org.bulrushpier.rig.gateway.ReplicaFake.Pace;
 import org.bulrushpier.rig.gateway.ReplicaFake.RawResponse;
+import org.bulrushpier.rig.gateway.ReplicaFake.Script;
 import org.bulrushpier.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the gateway against replicas whose responses belong to no request or cannot be true. */
@@ -39,7 +41,7 @@
         {"name":"safe","host":"127.0.0.1","path_prefix":"/safe/","kind":"safe",
          "timeout_ms":20000,"goal_ms":5000,"service":"plain","max_attempts":2},
         {"name":"stream","host":"127.0.0.1","path_prefix":"/stream/","kind":"streaming",
-         "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":2,"can_resume":true},
+         "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":3,"can_resume":true},
         {"name":"note","host":"127.0.0.1","path_prefix":"/note/","kind":"streaming",
          "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":1}],
        "services":[{"name":"plain","max_conns":50},
@@ -51,6 +53,13 @@
   private static final String STALE_REFUSAL =
       "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
+  private static final int CALLS = 6;
+
+  /** Limit for one read, in milliseconds, which is reached only by a test that fails. */
+  private static final int READ_TIMEOUT_MILLIS = 30_000;
+
+  private static final String END = "0\r\n\r\n";
+
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final List<ReplicaFake> calls = new ArrayList<>();
@@ -66,6 +75,8 @@
     metadataStore.put("config", "main", CONFIGURATION);
     for (int i = 0; i < 2; i++) {
       register("p" + i, "plain", calls);
+    }
+    for (int i = 0; i < 3; i++) {
       register("e" + i, "engines", engines);
     }
     String text =
@@ -138,28 +149,15 @@
     return send(request("/once/a").POST(HttpRequest.BodyPublishers.ofString("defect")));
   }
 
-  /** Opens a connection to each replica of the plain service, which is kept afterwards. */
-  private void openConnections() throws Exception {
-    calls.forEach(replica -> replica.setPace(new Pace(500, 0, 0)));
-    List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
-    for (int i = 0; i < calls.size(); i++) {
-      responses.add(
-          client.sendAsync(request("/safe/a").build(), HttpResponse.BodyHandlers.ofString()));
-    }
-    for (CompletableFuture<HttpResponse<String>> response : responses) {
-      assertThat(response.get().statusCode()).isEqualTo(200);
-    }
-    assertThat(calls).allMatch(replica -> replica.executions().size() == 1);
-    calls.forEach(replica -> replica.setPace(new Pace(0, 0, 0)));
-  }
-
   private int executed(List<ReplicaFake> replicas) {
     return replicas.stream().mapToInt(replica -> replica.executions().size()).sum();
   }
 
   private static void script(List<ReplicaFake> replicas, Function<Execution, RawResponse> script) {
     replicas.forEach(
-        replica -> replica.setScript(execution -> Optional.ofNullable(script.apply(execution))));
+        replica ->
+            replica.setScript(
+                (execution, isFirst) -> Optional.ofNullable(script.apply(execution))));
   }
 
   private static String sealed(Execution execution, int status) {
@@ -171,39 +169,44 @@
     return sealed(execution, status) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
   }
 
-  @Test
-  void refusalWithoutIdOnKeptConnectionIsNotTakenForTheResponse() throws Exception {
-    openConnections();
-    final int before = executed(calls);
-    script(
-        calls, execution -> new RawResponse(STALE_REFUSAL + sealed(execution, 200, "done"), false));
-
-    for (int i = 0; i < 6; i++) {
+  /**
+   * Sends calls, of which those on a kept connection get other bytes before their response.
+   *
+   * @return the number of calls that got them
+   */
+  private int callWithForeignBytes(String foreign) throws Exception {
+    AtomicInteger count = new AtomicInteger();
+    Script script =
+        (execution, isFirst) -> {
+          if (isFirst) {
+            return Optional.empty();
+          }
+          count.incrementAndGet();
+          return Optional.of(new RawResponse(foreign + sealed(execution, 200, "done"), false));
+        };
+    calls.forEach(replica -> replica.setScript(script));
+    for (int i = 0; i < CALLS; i++) {
       HttpResponse<String> response = sendOnce();
       assertThat(response.statusCode()).isEqualTo(200);
       assertThat(response.body()).isEqualTo("done");
     }
+    return count.get();
+  }
+
+  @Test
+  void refusalWithoutIdOnKeptConnectionIsNotTakenForTheResponse() throws Exception {
+    assertThat(callWithForeignBytes(STALE_REFUSAL)).isPositive();
 
-    assertThat(executed(calls)).isEqualTo(before + 6);
+    assertThat(executed(calls)).isEqualTo(CALLS);
   }
 
   @ParameterizedTest
   @ValueSource(ints = {200, 404, 500})
   void responseWithoutIdOnKeptConnectionIsNotForwarded(int status) throws Exception {
-    openConnections();
-    script(
-        calls,
-        execution ->
-            new RawResponse(
-                "HTTP/1.1 "
-                    + status
-                    + " X\r\nServer-Seal: s\r\nContent-Length: 5\r\n\r\nother"
-                    + sealed(execution, 200, "done"),
-                false));
-
-    HttpResponse<String> response = sendOnce();
+    String foreign =
+        "HTTP/1.1 %d X\r\nServer-Seal: s\r\nContent-Length: 5\r\n\r\nother".formatted(status);
 
-    assertThat(response.body()).isEqualTo("done");
+    assertThat(callWithForeignBytes(foreign)).isPositive();
   }
 
   @Test
@@ -215,4 +218,112 @@
 
     assertThat(sendOnce().statusCode()).isEqualTo(200);
   }
+
+  /** A response that cannot continue a stream. */
+  private enum NoContinuation {
+    ERROR,
+    NOT_FOUND,
+    OTHER_TYPE,
+    NO_CONTENT,
+    PARTIAL_CONTENT,
+    ENCODED,
+    UNFINISHED_EVENT;
+
+    private RawResponse response(Execution execution) {
+      String text =
+          switch (this) {
+            case ERROR -> sealed(execution, 500, "failure");
+            case NOT_FOUND -> sealed(execution, 404, "failure");
+            case OTHER_TYPE -> sealed(execution, 200, "failure\n\n");
+            case NO_CONTENT -> sealed(execution, 204) + "\r\n";
+            case PARTIAL_CONTENT -> stream(execution, 206, "") + chunk("id: 5\ndata: 5\n\n") + END;
+            case ENCODED ->
+                stream(execution, 200, "Content-Encoding: gzip\r\n")
+                    + chunk("id: 5\ndata: 5\n\n")
+                    + END;
+            case UNFINISHED_EVENT -> stream(execution, 200, "") + chunk("id: 5\ndata:") + END;
+          };
+      return new RawResponse(text, false);
+    }
+  }
+
+  private static String stream(Execution execution, int status, String fields) {
+    return sealed(execution, status)
+        + fields
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
+
+  private static String events(int from, int to) {
+    StringBuilder text = new StringBuilder();
+    for (int i = from; i <= to; i++) {
+      text.append(chunk("id: " + i + "\ndata: " + i + "\n\n"));
+    }
+    return text.toString();
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  private static boolean isResumed(Execution execution) {
+    return execution.headers().containsKey("last-event-id");
+  }
+
+  /** Sends a generation and returns the body as it was sent, up to the end of the connection. */
+  private String generate(String path) throws IOException {
+    String[] address = settings.callerAddress().toString().split(":");
+    try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
+      String request =
+          "POST %s HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\nAttempt-Id: id%d\r\n"
+              + "Deadline-Ms: 20000\r\nAuthorization: Bearer key\r\nModel: m0\r\n"
+              + "Token-Usage: 100,5\r\nPrefix-Hash: a1:80,b2:20\r\nContent-Length: 0\r\n\r\n";
+      socket.getOutputStream().write(request.formatted(path, ++lastId).getBytes(UTF_8));
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+      String text = new String(socket.getInputStream().readAllBytes(), UTF_8);
+      return text.substring(text.indexOf("\r\n\r\n") + 4);
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void responseThatCannotContinueStreamIsNotWrittenIntoIt(NoContinuation foreign) throws Exception {
+    script(
+        engines,
+        execution ->
+            isResumed(execution)
+                ? foreign.response(execution)
+                : new RawResponse(stream(execution, 200, "") + events(1, 4), true));
+
+    String body = generate("/stream/a");
+
+    assertThat(body).isEqualTo(events(1, 4));
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void streamIsResumedElsewhereAfterResponseThatCannotContinueIt(NoContinuation foreign)
+      throws Exception {
+    AtomicInteger sent = new AtomicInteger();
+    script(
+        engines,
+        execution ->
+            switch (sent.getAndIncrement()) {
+              case 0 -> new RawResponse(stream(execution, 200, "") + events(1, 4), true);
+              case 1 -> foreign.response(execution);
+              default -> null;
+            });
+
+    String body = generate("/stream/a");
+
+    assertThat(body).isEqualTo(events(1, 5) + END);
+  }
+
+  @Test
+  void firstResponseThatIsNoStreamIsForwardedAsItIs() throws Exception {
+    script(engines, execution -> new RawResponse(sealed(execution, 200, "plain"), false));
+
+    String body = generate("/stream/a");
+
+    assertThat(body).isEqualTo("plain");
+  }
 }
