--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
@@ -5,7 +5,9 @@
 import org.bulrushpier.adapter.SiteFormat;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
+import org.bulrushpier.adapter.StoreFormat.ReadableObject;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
+import org.bulrushpier.adapter.StoreFormat.UnreadableObject;
 import org.bulrushpier.site.Configuration;
 
 /**
@@ -49,12 +51,21 @@
     if (!value.name().equals(CONFIGURATION_NAME)) {
       return;
     }
+    switch (value) {
+      case ReadableObject readable -> accept(readable, sent);
+      case UnreadableObject unreadable ->
+          context.logChange("configuration-unreadable", unreadable.name(), unreadable.defect());
+    }
+  }
+
+  private void accept(ReadableObject value, Moment sent) {
     try {
       Configuration read =
           SiteFormat.configuration(
               value.content(),
               finding -> context.logChange("configuration-finding", "main", finding));
       if (context.configuration().accept(read, sent)) {
+        context.configurationChanged();
         context.logChange(
             "configuration", "version " + read.version(), "revision " + value.revision());
       }
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -31,6 +31,7 @@
   private final BlockingQueue<CallerConnection> connections = new LinkedBlockingQueue<>();
   private final BlockingQueue<InboundRequest> requests = new LinkedBlockingQueue<>();
   private final CompletableFuture<Void> disconnected = new CompletableFuture<>();
+  private volatile CallerLimits limits = new CallerLimits(2_000, 1_000, 60_000, 60_000);
   private Address address;
   private Closeable listener;
 
@@ -49,7 +50,7 @@
 
     @Override
     public CallerLimits limits() {
-      return new CallerLimits(2_000, 1_000, 60_000, 60_000);
+      return limits;
     }
   }
 
@@ -192,6 +193,163 @@
     }
   }
 
+  @Test
+  void largestAnswerIsWrittenWholeAfterAnotherOne() throws Exception {
+    int bodyBytes = 4 * 1_024 * 1_024;
+    try (Socket socket = connect()) {
+      RawServer.write(
+          socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      respond("y".repeat(bodyBytes));
+      nextRequest();
+      respond("z".repeat(bodyBytes));
+
+      for (int i = 0; i < 2; i++) {
+        assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+        assertThat(socket.getInputStream().readNBytes(bodyBytes)).hasSize(bodyBytes);
+      }
+    }
+  }
+
+  @Test
+  void answerIsNotCutOffByPipelinedRequests() throws Exception {
+    limits = new CallerLimits(2_000, 1_000_000, 60_000, 60_000);
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      int pipelinedBytes = 300_000;
+      final Thread writer =
+          Thread.ofVirtual()
+              .start(
+                  () -> {
+                    try {
+                      RawServer.write(
+                          socket,
+                          "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                              + pipelinedBytes
+                              + "\r\n\r\n"
+                              + "y".repeat(pipelinedBytes));
+                    } catch (IOException e) {
+                      throw new IllegalStateException(e);
+                    }
+                  });
+      Thread.sleep(300);
+      respond("");
+
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+      assertThat(nextRequest().body()).hasSize(pipelinedBytes);
+      writer.join();
+    }
+  }
+
+  /** Closing a socket with unread bytes resets the connection. */
+  @Test
+  void lastAnswerIsNotDestroyedByBytesThatFollowItsRequest() throws Exception {
+    int bodyBytes = 3_000_000;
+    for (int i = 0; i < 5; i++) {
+      try (Socket socket = connect()) {
+        RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        nextRequest();
+        respond("z".repeat(bodyBytes));
+        RawServer.write(socket, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+        Thread.sleep(100);
+
+        assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+        assertThat(socket.getInputStream().readAllBytes()).hasSize(bodyBytes);
+        assertThat(requests).isEmpty();
+      }
+    }
+  }
+
+  /** An open connection kept the limit that was in force when it was opened. */
+  @Test
+  void openConnectionIsNotClosedBeforeRaisedIdleTimeout() throws Exception {
+    limits = new CallerLimits(2_000, 1_000, 60_000, 600);
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      respond("");
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+
+      limits = new CallerLimits(2_000, 1_000, 60_000, 60_000);
+      Thread.sleep(1_500);
+      RawServer.write(socket, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+
+      assertThat(nextRequest()).isNotNull();
+    }
+  }
+
+  @Test
+  void openConnectionTakesRequestsOfRaisedSizes() throws Exception {
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      respond("");
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+
+      limits = new CallerLimits(16_384, 10_000, 60_000, 60_000);
+      RawServer.write(
+          socket,
+          "POST /b HTTP/1.1\r\nHost: x\r\nX: "
+              + "y".repeat(3_000)
+              + "\r\nContent-Length: 2000\r\n\r\n"
+              + "z".repeat(2_000));
+
+      assertThat(nextRequest().body()).hasSize(2_000);
+    }
+  }
+
+  @Test
+  void unfinishedRequestIsAnsweredWhenItsTimeIsOver() throws Exception {
+    limits = new CallerLimits(2_000, 1_000, 60_000, 300);
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\ny");
+
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 408");
+      assertThat(requests).isEmpty();
+    }
+  }
+
+  @Test
+  void slowBodyIsReadWhileItsBytesArrive() throws Exception {
+    limits = new CallerLimits(2_000, 1_000, 60_000, 1_000);
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\n");
+      for (int i = 0; i < 6; i++) {
+        Thread.sleep(400);
+        RawServer.write(socket, "y");
+      }
+
+      assertThat(nextRequest().body()).hasSize(6);
+    }
+  }
+
+  @Test
+  void answerThatIsNotYetWrittenCountsAsBeingAnswered() throws Exception {
+    int bodyBytes = 4 * 1_024 * 1_024;
+    try (Socket socket = connect()) {
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      nextRequest();
+      CallerConnection connection = connections.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      boolean[] isAnswering = new boolean[1];
+      loop.run(
+          () -> {
+            connection.respond(200, HttpFields.EMPTY, new byte[bodyBytes]);
+            isAnswering[0] = connection.isAnswering();
+          });
+      assertThat(isAnswering[0]).isTrue();
+
+      RawServer.readHead(socket);
+      assertThat(socket.getInputStream().readNBytes(bodyBytes)).hasSize(bodyBytes);
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+      while (isAnswering[0] && System.nanoTime() < deadline) {
+        Thread.sleep(10);
+        loop.run(() -> isAnswering[0] = connection.isAnswering());
+      }
+      assertThat(isAnswering[0]).isFalse();
+    }
+  }
+
   /** Callers who were refused leave their connections open and return on new ones. */
   @Test
   void idleConnectionsHoldLittleMemory() throws Exception {
