A stream is continued only by the event that follows its last one

After a stream broke off or fell silent, callers got events of a continuation that had no ids, and events of a stream without ids once more; a continuation without any event ended the stream as complete. A continuation whose first event was not the next one cut the stream off, although another replica could have continued it or the silent one would have gone on.

Cause: only numbered events were checked against the last one, a continuation counted as progress from its head on, and an event out of order ended the request instead of the attempt.

The first event of a continuation must have the next id; an attempt overtakes the others only with such an event. An event out of order, or the end without an event, ends the attempt like a broken connection: another attempt goes on or begins where that is allowed. A stream that has forwarded events without ids is not sent again, as no replica can be told where to go on.

Evidence: with the code before, 12 of the 40 cases of ForeignResponseIntegration- Test failed: continuations without ids, with a repeated, a missing or no event, after a broken connection and beside a silent replica that goes on, an unfinished event beside one, and streamWithoutEventIdsIsNotSentAgainAfterIt- BrokeOff. All 40 pass now, and the ten of SilentReplicaIntegrationTest.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -100,6 +100,7 @@
   private boolean isDone;
   private long lastEvent = -1;
   private boolean isStreaming;
+  private boolean hasUnnumberedEvents;
   private long lastProgressMillis;
   private long firstEventAfterMillis = -1;
   private long longestPauseMillis;
@@ -348,6 +349,7 @@
     long unsent = silent.stream().filter(attempt -> !attempt.outbound.isSent()).count();
     if (nowMillis < nextSilenceRetryMillis
         || attempts + unsent >= route.maxAttempts()
+        || hasUnnumberedEvents
         || remaining < MIN_REMAINING_MILLIS) {
       return;
     }
@@ -364,6 +366,7 @@
   /** Returns whether the request may be sent again, and takes a retry from the budget if so. */
   private boolean tryAcquireRetry() {
     return attempts < route.maxAttempts()
+        && !hasUnnumberedEvents
         && remainingMillis() > MIN_REMAINING_MILLIS
         && context.retryBudget(service).tryRetry(MonotonicClock.millis());
   }
@@ -540,6 +543,8 @@
     private ResponseHead head;
     private UpstreamResponse response;
     private boolean isForwardingEvents;
+    private boolean isContinuation;
+    private boolean hasForwardedEvents;
     private boolean isEnded;
 
     Attempt(Replica replica, Placement.Send placement) {
@@ -862,7 +867,10 @@
 
     private void startStream() {
       isForwardingEvents = true;
-      overtakeOthers();
+      isContinuation = firstEventAfterMillis >= 0;
+      if (!isContinuation) {
+        overtakeOthers();
+      }
       lastProgressMillis = MonotonicClock.millis();
       if (!isStreaming) {
         isStreaming = true;
@@ -898,24 +906,43 @@
       if (isEnded) {
         return;
       }
-      overtakeOthers();
-      long now = MonotonicClock.millis();
-      recordProgress(now);
-      replica.recordActivity(now);
-      if (id >= 0 && lastEvent >= 0 && id != lastEvent + 1) {
+      if (!isNextEvent(id)) {
         context
             .log()
-            .event("event-out-of-order", "request", request.id(), "event", id, "after", lastEvent);
-        cancel("event out of order");
-        giveUp("an event of the stream is missing");
+            .event(
+                "event-out-of-order",
+                "request",
+                request.id(),
+                "replica",
+                replica.entry().id(),
+                "event",
+                id,
+                "after",
+                lastEvent);
+        rejectResponse("an event of the stream is out of order");
         return;
       }
+      overtakeOthers();
+      long now = MonotonicClock.millis();
+      recordProgress(now);
+      replica.recordActivity(now);
       if (id >= 0) {
         lastEvent = id;
+      } else {
+        hasUnnumberedEvents = true;
       }
+      hasForwardedEvents = true;
       caller.body(ByteBuffer.wrap(bytes));
     }
 
+    /** Returns whether an event follows the last one; the first of a continuation has a number. */
+    private boolean isNextEvent(long id) {
+      if (id < 0) {
+        return !isContinuation || hasForwardedEvents;
+      }
+      return lastEvent < 0 || id == lastEvent + 1;
+    }
+
     /** Records the time to the first event and the longest pause between events. */
     private void recordProgress(long nowMillis) {
       if (firstEventAfterMillis < 0) {
@@ -992,6 +1019,10 @@
         responseLost("the stream ended in the middle of an event");
         return;
       }
+      if (isContinuation && !hasForwardedEvents) {
+        responseLost("the stream was continued without an event");
+        return;
+      }
       finishAnswered();
       caller.complete();
     }
--- a/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
@@ -22,6 +22,7 @@
 import org.bulrushpier.rig.gateway.ReplicaFake.Execution;
 import org.bulrushpier.rig.gateway.ReplicaFake.RawResponse;
 import org.bulrushpier.rig.gateway.ReplicaFake.Script;
+import org.bulrushpier.rig.gateway.ReplicaFake.Silence;
 import org.bulrushpier.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -55,6 +56,9 @@
 
   private static final int CALLS = 6;
 
+  /** Longer than a stream may be silent before it is sent to another replica, in milliseconds. */
+  private static final long SILENCE_MILLIS = 3_000;
+
   /** Limit for one read, in milliseconds, which is reached only by a test that fails. */
   private static final int READ_TIMEOUT_MILLIS = 30_000;
 
@@ -227,6 +231,10 @@
     NO_CONTENT,
     PARTIAL_CONTENT,
     ENCODED,
+    WITHOUT_EVENT_IDS,
+    REPEATED_EVENT,
+    MISSING_EVENT,
+    NO_EVENT,
     UNFINISHED_EVENT;
 
     private RawResponse response(Execution execution) {
@@ -241,6 +249,10 @@
                 stream(execution, 200, "Content-Encoding: gzip\r\n")
                     + chunk("id: 5\ndata: 5\n\n")
                     + END;
+            case WITHOUT_EVENT_IDS -> stream(execution, 200, "") + chunk("data: failure\n\n") + END;
+            case REPEATED_EVENT -> stream(execution, 200, "") + events(4, 5) + END;
+            case MISSING_EVENT -> stream(execution, 200, "") + events(6, 6) + events(5, 5) + END;
+            case NO_EVENT -> stream(execution, 200, "") + END;
             case UNFINISHED_EVENT -> stream(execution, 200, "") + chunk("id: 5\ndata:") + END;
           };
       return new RawResponse(text, false);
@@ -318,6 +330,34 @@
     assertThat(body).isEqualTo(events(1, 5) + END);
   }
 
+  @ParameterizedTest
+  @EnumSource
+  void silentReplicaGoesOnAfterResponseThatCannotContinueItsStream(NoContinuation foreign)
+      throws Exception {
+    engines.forEach(engine -> engine.setSilence(new Silence(4, SILENCE_MILLIS)));
+    script(engines, execution -> isResumed(execution) ? foreign.response(execution) : null);
+
+    String body = generate("/stream/a");
+
+    assertThat(body).isEqualTo(events(1, 5) + END);
+    assertThat(engines).anyMatch(engine -> isAnyResumed(engine));
+  }
+
+  private static boolean isAnyResumed(ReplicaFake engine) {
+    return engine.executions().stream().anyMatch(execution -> isResumed(execution));
+  }
+
+  @Test
+  void streamWithoutEventIdsIsNotSentAgainAfterItBrokeOff() throws Exception {
+    String event = chunk("data: 1\n\n");
+    script(engines, execution -> new RawResponse(stream(execution, 200, "") + event, true));
+
+    String body = generate("/stream/a");
+
+    assertThat(body).isEqualTo(event);
+    assertThat(executed(engines)).isEqualTo(1);
+  }
+
   @Test
   void firstResponseThatIsNoStreamIsForwardedAsItIs() throws Exception {
     script(engines, execution -> new RawResponse(sealed(execution, 200, "plain"), false));
