An error while a request is handled no longer ends its connection without an answer

What callers saw: a closed connection without a byte, for a request that had been read whole. A generation whose size is given as "," is one of them. Cause: the HTTP parser catches what its handler throws and reports an early end of input, for which the connection is closed. Nothing was logged, and the request's attempt went on running. An error in one step of the tick also kept the steps after it from being taken, and an Error that is no RuntimeException escaped from the loop. Class: a failure of this process ends a request that it has taken over. Change: a request whose handling fails is given up like any other, with a true answer and its attempts cancelled; what fails before that is answered with 500; each step of the tick runs by itself. The error is logged with the request.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -340,6 +340,19 @@
     }
   }
 
+  /** Ends a request whose handling failed; the parser would close the connection silently. */
+  private void handlingFailed(InboundRequest request, Throwable cause) {
+    log.error("net: handling of {} {} failed.", request.method(), request.target(), cause);
+    if (isResponding && !isClosing()) {
+      if (isResponseStarted) {
+        handler.callerDisconnected(this);
+        abort();
+      } else {
+        reject(HttpStatus.INTERNAL_SERVER_ERROR_500);
+      }
+    }
+  }
+
   private void reject(int status) {
     isResponding = true;
     isPersistent = false;
@@ -406,7 +419,11 @@
       isResponding = true;
       InboundRequest request = new InboundRequest(method, target, fields, body.toByteArray());
       body = new ByteArrayOutputStream(0);
-      handler.requestReceived(CallerConnection.this, request);
+      try {
+        handler.requestReceived(CallerConnection.this, request);
+      } catch (RuntimeException | StackOverflowError | AssertionError e) {
+        handlingFailed(request, e);
+      }
       return true;
     }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/EventLoop.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/EventLoop.java
@@ -157,7 +157,7 @@
     lock.lock();
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError | AssertionError e) {
       log.error("net: callback failed.", e);
     } finally {
       lock.unlock();
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -6,6 +6,8 @@
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Base class of inbound and outbound HTTP/1.1 connections: reads with the loop's lock held and
@@ -18,6 +20,8 @@
  */
 abstract class HttpConnection extends AbstractConnection {
 
+  private static final Logger log = LoggerFactory.getLogger("net");
+
   /** Maximum number of queued buffers passed to one write. */
   private static final int MAX_BUFFERS_PER_WRITE = 16;
 
@@ -92,6 +96,11 @@
     } catch (IOException e) {
       finish(true, String.valueOf(e.getMessage()));
       return;
+    } catch (RuntimeException | StackOverflowError | AssertionError e) {
+      log.error(
+          "net: bytes from {} could not be handled.", getEndPoint().getRemoteSocketAddress(), e);
+      finish(true, "the bytes received could not be handled");
+      return;
     } finally {
       isReading = false;
       flush();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -116,6 +116,35 @@
     this.request = request;
   }
 
+  /** Begins the request, which is given up if that fails because of an error of this process. */
+  void beginOrGiveUp() {
+    runOrGiveUp(this::begin);
+  }
+
+  /** Checks the request's state, and gives it up if that fails because of an error here. */
+  void tickOrGiveUp(long nowMillis) {
+    runOrGiveUp(() -> tick(nowMillis));
+  }
+
+  private void runOrGiveUp(Runnable step) {
+    boolean isFinished = false;
+    try {
+      step.run();
+      isFinished = true;
+    } finally {
+      if (!isFinished) {
+        abandon("internal error");
+      }
+    }
+  }
+
+  /** Gives up a request that is still under way. */
+  void abandon(String reason) {
+    if (!isDone) {
+      giveUp(reason);
+    }
+  }
+
   /** Checks the route and the key, then sends the request to an upstream or refuses it. */
   void begin() {
     Optional<Configuration> known = context.configuration().configuration();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -63,7 +65,9 @@
 
   private static final long SHUTDOWN_POLL_MILLIS = 50;
 
-  /** How long the shutdown waits for order leases to be released, in milliseconds. */
+  /**
+   * How long the shutdown waits for leases to be released and for last answers, in milliseconds.
+   */
   private static final long RELEASE_MILLIS = 300;
 
   private volatile GatewaySettings settings;
@@ -193,23 +197,28 @@
 
   private void tick() {
     long now = MonotonicClock.millis();
-    for (Exchange exchange : exchanges.toArray(new Exchange[0])) {
-      // A failure must not keep the other requests from their timeouts.
-      loop.run(() -> exchange.tick(now));
+    // A failure of one step must not keep the others from being taken.
+    for (Exchange exchange : List.copyOf(exchanges)) {
+      loop.run(() -> exchange.tickOrGiveUp(now));
     }
-    context.placementQueues().forEach((service, queue) -> placeWaiting(service, queue, now));
+    Map.copyOf(context.placementQueues())
+        .forEach((service, queue) -> loop.run(() -> placeWaiting(service, queue, now)));
     exchanges.removeIf(Exchange::isDone);
     connections.removeIf(CallerConnection::isClosed);
+    loop.run(() -> expireReplicas(now));
+    loop.run(cacheStorePoller::tick);
+    if (fleet != null) {
+      loop.run(() -> fleet.tick(now));
+    }
+    loop.run(() -> rollouts.tick(isShuttingDown));
+  }
+
+  private void expireReplicas(long nowMillis) {
     context
         .replicas()
-        .expire(now)
+        .expire(nowMillis)
         .forEach(
             id -> context.logChange("replica-gone", id, "not registered again after the outage"));
-    cacheStorePoller.tick();
-    if (fleet != null) {
-      fleet.tick(now);
-    }
-    rollouts.tick(isShuttingDown);
   }
 
   /** Places waiting requests as far as engines can take them, and refuses those that expired. */
@@ -359,7 +368,7 @@
       Exchange exchange = new Exchange(context, connection, inbound, request);
       connection.attach(exchange);
       exchanges.add(exchange);
-      exchange.begin();
+      exchange.beginOrGiveUp();
     }
 
     @Override
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -350,6 +350,23 @@
     }
   }
 
+  /** The parser closes the connection without a word if its handler fails. */
+  @Test
+  void requestWhoseHandlingFailsIsAnswered() throws Exception {
+    Address failing = freeAddress();
+    CallerConnection.Handler handler =
+        (connection, request) -> {
+          throw new IllegalStateException("handling fails");
+        };
+    try (Closeable failingListener = loop.listen(failing, handler);
+        Socket socket = new Socket(failing.host(), failing.port())) {
+      socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 500");
+    }
+  }
+
   /** Callers who were refused leave their connections open and return on new ones. */
   @Test
   void idleConnectionsHoldLittleMemory() throws Exception {
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -375,6 +375,12 @@
     }
   }
 
+  @Test
+  void callWithoutReadableSizeIsAnswered() throws Exception {
+    assertThat(send(generation("/stream/a").setHeader("Token-Usage", ",")).statusCode())
+        .isEqualTo(200);
+  }
+
   /** The process ends as soon as the shutdown is over, whatever is under way. */
   @Test
   void callThatArrivesWhenShutdownIsOverIsRefusedAndNotPassedOn() throws Exception {
