Requests that outlast a shutdown are answered before the process ends

What callers saw: a connection closed without a byte at the end of the time for a shutdown, also for requests that had been sent nowhere. Cause: the process ended with requests under way, in the queue or at a connection that was being opened.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -271,9 +271,24 @@
         break;
       }
     }
+    abandonRequests();
     loop.run(() -> context.log().event("stopped", "running", exchanges.size()));
   }
 
+  /** Gives the requests that are still under way an answer before the process ends. */
+  private void abandonRequests() {
+    loop.run(
+        () ->
+            List.copyOf(exchanges)
+                .forEach(exchange -> exchange.abandon("this instance is shutting down")));
+    long deadline = MonotonicClock.millis() + RELEASE_MILLIS;
+    while (MonotonicClock.millis() < deadline && !isIdle()) {
+      if (!sleep()) {
+        return;
+      }
+    }
+  }
+
   /** Refuses all further requests if none is under way, as none could be finished any more. */
   private boolean stopIfIdle() {
     loop.run(() -> isStopping = isIdle());
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -381,6 +381,44 @@
         .isEqualTo(200);
   }
 
+  /** At the end of the time for a shutdown the connections were closed with calls under way. */
+  @Test
+  void callThatOutlastsTheShutdownIsAnswered() throws Exception {
+    gateway.stop();
+    settings = settingsWithShutdown(3_000);
+    gateway = Gateway.start(settings);
+    await(this::isReady);
+    setBehaviour("plain", Behaviour.SILENT);
+    CompletableFuture<HttpResponse<String>> call =
+        client.sendAsync(
+            request("/once/a").POST(HttpRequest.BodyPublishers.ofString("defect")).build(),
+            HttpResponse.BodyHandlers.ofString());
+    await(() -> executedCount("plain") == 1);
+
+    gateway.shutDown();
+
+    assertThat(call).succeedsWithin(Duration.ofSeconds(10)).returns(502, HttpResponse::statusCode);
+  }
+
+  private GatewaySettings settingsWithShutdown(long shutdownMillis) {
+    return new GatewaySettings(
+        settings.name(),
+        settings.domain(),
+        settings.callerAddress(),
+        settings.readyAddress(),
+        settings.metricsAddress(),
+        settings.platformAddress(),
+        settings.fleetAddress(),
+        settings.seeds(),
+        settings.keyRevocationMillis(),
+        shutdownMillis,
+        settings.retryRatio(),
+        settings.retryMinimum(),
+        settings.retryWindowMillis(),
+        settings.orderLeaseMillis(),
+        settings.weightsChangeMillis());
+  }
+
   /** The process ends as soon as the shutdown is over, whatever is under way. */
   @Test
   void callThatArrivesWhenShutdownIsOverIsRefusedAndNotPassedOn() throws Exception {
