A watch of the store survives a failure of its listener and a result that cannot be read

What callers saw: nothing reported. Any exception or stack overflow while a list or a change was applied ended the watch of that kind for good: requests then went on to replicas that were gone, by an old configuration, and newer weights were not seen. A result that was unreadable as a whole, or larger than 4 MB, was asked for again from the same revision and failed again until the store had dropped that part of its history.

Cause: the next call was scheduled by the code that had applied the response, and only IOException was caught. A watch was repeated from its revision whatever was wrong with its result.

Evidence on the old code: of the new tests, the two with a failing listener, the one with changes that could not be applied, and the two with unreadable and too large changes fail.

Change: handling a response returns what follows it, and the caller schedules that in any case. A failure is logged and reported to the listener as one of the store's calls, with its back-off, and the list is read next, as it is open which part was applied. The same holds for changes that cannot be read or are too large.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -25,6 +25,9 @@
   /** Status of a call that got no response. */
   static final int NO_RESPONSE = 0;
 
+  /** Status of a call whose response body was too large. */
+  static final int TOO_LARGE = -1;
+
   /** The largest response body, in bytes: a few times the store's limit for a list. */
   private static final int MAX_BODY_BYTES = 4 * 1_024 * 1_024;
 
@@ -39,10 +42,10 @@
   /**
    * The outcome of a call. Immutable by convention.
    *
-   * @param status the HTTP status, or {@link #NO_RESPONSE}
+   * @param status the HTTP status, {@link #NO_RESPONSE} or {@link #TOO_LARGE}
    * @param body the body, or empty
    * @param sent when the call was made
-   * @param detail the failure if there is no response, otherwise empty
+   * @param detail the failure if there is no complete response, otherwise empty
    */
   record Outcome(int status, byte[] body, Moment sent, String detail) {
     boolean isOk() {
@@ -145,7 +148,9 @@
     public void body(ByteBuffer bytes) {
       if (!body.append(bytes) && !isDone) {
         outbound.cancel();
-        failed("the response exceeds " + MAX_BODY_BYTES + " bytes");
+        finish(
+            new Outcome(
+                TOO_LARGE, new byte[0], sent, "the response exceeds " + MAX_BODY_BYTES + " bytes"));
       }
     }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -11,6 +11,8 @@
 import org.bulrushpier.adapter.StoreFormat.Event;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.daemon.net.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Watches one kind of object in the platform's metadata store: lists all objects first, then
@@ -79,6 +81,8 @@
   private static final long MIN_BACKOFF_MILLIS = 60;
   private static final long MAX_BACKOFF_MILLIS = 500;
   private static final int GONE = 410;
+  private static final long UNKNOWN_REVISION = -1;
+  private static final Logger log = LoggerFactory.getLogger("store");
 
   private final EventLoop loop;
   private final ControlClient client;
@@ -92,7 +96,8 @@
   /** A moment at which the known state was certainly the newest. */
   private Moment currentAt = Moment.DISTANT_PAST;
 
-  private long revision = -1;
+  private long revision = UNKNOWN_REVISION;
+
   private long backoffMillis = MIN_BACKOFF_MILLIS;
   private boolean isProbing = true;
 
@@ -134,29 +139,47 @@
         StoreFormat.list(kind, after),
         new byte[0],
         PROBE_TIMEOUT_MILLIS + RESPONSE_MARGIN_MILLIS,
-        this::pageReceived);
+        outcome -> received(() -> pageReceived(outcome)));
   }
 
-  private void pageReceived(ControlClient.Outcome outcome) {
-    if (!outcome.isOk()) {
-      failed(outcome);
-      return;
-    }
+  /**
+   * Handles a response and schedules what follows it. A failure while a response is handled leaves
+   * it open which part of it has been applied, so the list is read again.
+   */
+  private void received(Handler handler) {
+    Runnable following;
     try {
-      StoreFormat.Page page = StoreFormat.page(outcome.body());
-      values.addAll(page.values());
-      if (page.hasMore() && !page.values().isEmpty()) {
-        list(page.values().get(page.values().size() - 1).name());
-        return;
-      }
-      revision = page.revision();
-      succeeded();
-      listener.listed(List.copyOf(values), listSentAt, currentAt);
-      currentAt = listSentAt;
-      next();
+      following = handler.handle();
     } catch (IOException e) {
-      failed("unreadable list of " + kind + " objects: " + e.getMessage());
+      revision = UNKNOWN_REVISION;
+      following = failed("unreadable " + kind + " objects: " + e.getMessage());
+    } catch (RuntimeException | StackOverflowError e) {
+      log.error("store: objects of kind {} could not be applied.", kind, e);
+      revision = UNKNOWN_REVISION;
+      following = failed(kind + " objects could not be applied: " + e);
+    }
+    following.run();
+  }
+
+  /** Handles a response and returns what follows it. */
+  private interface Handler {
+    Runnable handle() throws IOException;
+  }
+
+  private Runnable pageReceived(ControlClient.Outcome outcome) throws IOException {
+    if (!outcome.isOk()) {
+      return failed(outcome);
+    }
+    StoreFormat.Page page = StoreFormat.page(outcome.body());
+    values.addAll(page.values());
+    if (page.hasMore() && !page.values().isEmpty()) {
+      return () -> list(page.values().getLast().name());
     }
+    revision = page.revision();
+    succeeded();
+    listener.listed(List.copyOf(values), listSentAt, currentAt);
+    currentAt = listSentAt;
+    return this::next;
   }
 
   private void watch() {
@@ -168,35 +191,29 @@
         StoreFormat.watch(kind, revision, wait),
         new byte[0],
         limit,
-        outcome -> changesReceived(wait, outcome));
+        outcome -> received(() -> changesReceived(wait, outcome)));
   }
 
-  private void changesReceived(long waitMillis, ControlClient.Outcome outcome) {
+  private Runnable changesReceived(long waitMillis, ControlClient.Outcome outcome)
+      throws IOException {
     if (outcome.status() == GONE) {
-      revision = -1;
-      next();
-      return;
+      revision = UNKNOWN_REVISION;
+      return this::next;
     }
-    if (!outcome.isOk()) {
-      failed(outcome);
-      return;
+    if (outcome.status() == ControlClient.TOO_LARGE) {
+      throw new IOException(outcome.detail());
     }
-    try {
-      StoreFormat.Events events = StoreFormat.events(outcome.body());
-      revision = events.revision();
-      succeeded();
-      listener.changed(events.events(), outcome.sent(), currentAt);
-      boolean isEmpty = events.events().isEmpty();
-      currentAt = provenAt(isEmpty, waitMillis, outcome.sent(), Moment.now());
-      isProbing = !isEmpty && timing.isChangeConfirmed();
-      if (isEmpty) {
-        next();
-      } else {
-        loop.after(timing.pauseMillis(), this::next);
-      }
-    } catch (IOException e) {
-      failed("unreadable changes of " + kind + " objects: " + e.getMessage());
+    if (!outcome.isOk()) {
+      return failed(outcome);
     }
+    StoreFormat.Events events = StoreFormat.events(outcome.body());
+    revision = events.revision();
+    succeeded();
+    listener.changed(events.events(), outcome.sent(), currentAt);
+    boolean isEmpty = events.events().isEmpty();
+    currentAt = provenAt(isEmpty, waitMillis, outcome.sent(), Moment.now());
+    isProbing = !isEmpty && timing.isChangeConfirmed();
+    return isEmpty ? this::next : () -> loop.after(timing.pauseMillis(), this::next);
   }
 
   /**
@@ -220,18 +237,15 @@
     backoffMillis = MIN_BACKOFF_MILLIS;
   }
 
-  private void failed(ControlClient.Outcome outcome) {
-    failed(
-        outcome.status() == ControlClient.NO_RESPONSE
-            ? outcome.detail()
-            : "status " + outcome.status());
+  private Runnable failed(ControlClient.Outcome outcome) {
+    return failed(outcome.status() > 0 ? "status " + outcome.status() : outcome.detail());
   }
 
-  private void failed(String detail) {
+  private Runnable failed(String detail) {
     isProbing = true;
     listener.failed(detail);
     long pause = backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis);
     backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
-    loop.after(pause, this::next);
+    return () -> loop.after(pause, this::next);
   }
 }
--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
@@ -2,11 +2,190 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.bulrushpier.Address;
 import org.bulrushpier.Moment;
+import org.bulrushpier.adapter.StoreFormat.Event;
+import org.bulrushpier.adapter.StoreFormat.StoreObject;
+import org.bulrushpier.daemon.net.ConnectionPool;
+import org.bulrushpier.daemon.net.EventLoop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
+@Timeout(60)
 class StoreWatchTest {
 
+  private static final String A = object("a");
+  private static final String B = object("b");
+
+  private final EventLoop loop = EventLoop.start();
+  private final BlockingQueue<String> responses = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> deliveries = new LinkedBlockingQueue<>();
+  private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+  private HttpServer store;
+
+  /** Records what is delivered; fails for the first object named "fault". */
+  private final class Recorder implements StoreWatch.Listener {
+    private final Throwable fault;
+    private boolean hasFailed;
+
+    Recorder(Throwable fault) {
+      this.fault = fault;
+    }
+
+    @Override
+    public void listed(List<StoreObject> values, Moment sent, Moment changedAfter) {
+      deliver("listed", values);
+    }
+
+    @Override
+    public void changed(List<Event> events, Moment sent, Moment changedAfter) {
+      deliver("changed", events.stream().map(Event::value).toList());
+    }
+
+    private void deliver(String kind, List<StoreObject> values) {
+      List<String> names = values.stream().map(StoreObject::name).toList();
+      deliveries.add(kind + names);
+      if (names.contains("fault") && !hasFailed) {
+        hasFailed = true;
+        switch (fault) {
+          case RuntimeException e -> throw e;
+          case Error e -> throw e;
+          default -> throw new IllegalStateException(fault);
+        }
+      }
+    }
+
+    @Override
+    public void failed(String detail) {
+      deliveries.add("failed");
+    }
+  }
+
+  @BeforeEach
+  void start() throws IOException {
+    store = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    store.createContext(
+        "/",
+        exchange -> {
+          byte[] body = nextResponse().getBytes(StandardCharsets.UTF_8);
+          exchange.sendResponseHeaders(200, body.length);
+          exchange.getResponseBody().write(body);
+          exchange.close();
+        });
+    store.setExecutor(threads);
+    store.start();
+  }
+
+  private String nextResponse() {
+    try {
+      return responses.take();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return "";
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    loop.stop();
+    threads.shutdownNow();
+    store.stop(0);
+  }
+
+  private void startWatch(Throwable fault) {
+    Address address = new Address("127.0.0.1", store.getAddress().getPort());
+    ControlClient client = new ControlClient(loop, ConnectionPool.of(loop, 1_000));
+    StoreWatch.Timing timing = new StoreWatch.Timing(10_000, 0);
+    StoreWatch watch =
+        new StoreWatch(loop, client, () -> address, "servers", timing, new Recorder(fault));
+    loop.run(watch::start);
+  }
+
+  private static String object(String name) {
+    return "{\"metadata\":{\"name\":\"%s\",\"revision\":1},\"spec\":{}}".formatted(name);
+  }
+
+  private static String page(long revision, boolean hasMore, String... items) {
+    return "{\"items\":[%s],\"has_more\":%b,\"current_rev\":%d}"
+        .formatted(String.join(",", items), hasMore, revision);
+  }
+
+  private static String change(long revision, String object) {
+    return "{\"events\":[{\"object\":%s,\"removed\":false}],\"current_rev\":%d}"
+        .formatted(object, revision);
+  }
+
+  private static String next(BlockingQueue<String> queue) throws InterruptedException {
+    return queue.poll(10, TimeUnit.SECONDS);
+  }
+
+  private void expect(String... expected) throws InterruptedException {
+    for (String delivery : expected) {
+      assertThat(next(deliveries)).isEqualTo(delivery);
+    }
+  }
+
+  private void assertFailureIsSurvived(Throwable fault) throws InterruptedException {
+    responses.addAll(
+        List.of(
+            page(3, false, A, object("fault")),
+            page(4, false, A),
+            change(5, object("b")),
+            change(6, B)));
+    startWatch(fault);
+
+    expect("listed[a, fault]", "failed", "listed[a]", "changed[b]", "changed[b]");
+  }
+
+  @Test
+  void exceptionOfTheListenerDoesNotEndTheWatch() throws InterruptedException {
+    assertFailureIsSurvived(new IllegalStateException("of the test"));
+  }
+
+  @Test
+  void stackOverflowOfTheListenerDoesNotEndTheWatch() throws InterruptedException {
+    assertFailureIsSurvived(new StackOverflowError("of the test"));
+  }
+
+  @Test
+  void changesThatCouldNotBeAppliedAreFollowedByList() throws InterruptedException {
+    responses.addAll(List.of(page(3, false, A), change(4, object("fault")), page(5, false, A, B)));
+    startWatch(new IllegalStateException("of the test"));
+
+    expect("listed[a]", "changed[fault]", "failed", "listed[a, b]");
+  }
+
+  @Test
+  void unreadableChangesAreFollowedByList() throws InterruptedException {
+    responses.addAll(
+        List.of(page(3, false, A), "{\"events\":[{]", page(5, false, A, B), change(6, A)));
+    startWatch(null);
+
+    expect("listed[a]", "failed", "listed[a, b]", "changed[a]");
+  }
+
+  @Test
+  void changesThatAreTooLargeAreFollowedByList() throws InterruptedException {
+    responses.addAll(
+        List.of(page(3, false, A), " ".repeat(5_000_000), page(5, false, A, B), change(6, A)));
+    startWatch(null);
+
+    expect("listed[a]", "failed", "listed[a, b]", "changed[a]");
+  }
+
   private static Moment at(long millis) {
     return new Moment(millis, millis);
   }
