--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -21,6 +21,7 @@
 import org.bulrushpier.placing.AttemptRace;
 import org.bulrushpier.placing.CachePlanner;
 import org.bulrushpier.placing.CacheSalt;
+import org.bulrushpier.placing.CallerPatience;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.ResponseTimeout;
@@ -65,9 +66,6 @@
   /** The lowest priority that engines distinguish; configured ones beyond it are equal to it. */
   private static final int MAX_PRIORITY = 9;
 
-  /** Priority in the queue of a stream that continues at another upstream, before all others. */
-  private static final int RESUMED_PRIORITY = -1;
-
   /** Number of failed connection attempts after which the request is given up. */
   private static final int MAX_CONNECT_FAILURES = 3;
 
@@ -86,6 +84,7 @@
   private final CallerRequest request;
   private final long arrivedMillis = MonotonicClock.millis();
   private final Set<String> triedReplicas = new HashSet<>();
+  private final Set<String> lostReplicas = new HashSet<>();
   private ConfiguredRoute route;
   private KeyHolder holder = KeyHolder.ANONYMOUS;
   private String service = "";
@@ -93,6 +92,7 @@
   private final AttemptRace<Attempt> race = new AttemptRace<>();
   private Attempt failedAnswer;
   private long nextSilenceRetryMillis;
+  private boolean isInterrupted;
   private Placement.Wait wait;
   private int attempts;
   private int connectFailures;
@@ -212,15 +212,39 @@
     return Math.clamp(holder.effectivePriority(route), 0, MAX_PRIORITY);
   }
 
-  /** Waits for an engine; interrupted streams go on before new requests begin. */
+  /** Waits for an engine. */
   private void await(Placement.Wait placement) {
     if (wait == null) {
-      int priority = isStreaming ? RESUMED_PRIORITY : priority();
-      queue().add(this, priority, route.goalMillis(), MonotonicClock.millis());
+      queue().add(this, priority(), route.goalMillis(), MonotonicClock.millis());
     }
     wait = placement;
   }
 
+  /**
+   * Keeps a stream that no engine can continue now for as long as its caller waits for the next
+   * event. It waits outside the queue, as it may depend on other engines than the requests there.
+   */
+  private void awaitContinuation(String reason, long nowMillis) {
+    if (CallerPatience.of(route.goalMillis(), route.gapMillis())
+        .isExhausted(lastProgressMillis, nowMillis)) {
+      giveUp(reason);
+    } else if (!isInterrupted) {
+      isInterrupted = true;
+      context
+          .log()
+          .event(
+              "interrupted",
+              "request",
+              request.id(),
+              "lastEvent",
+              lastEvent,
+              "silentForMs",
+              nowMillis - lastProgressMillis,
+              "reason",
+              reason);
+    }
+  }
+
   /**
    * Tries to place this request, which waits for an engine.
    *
@@ -260,14 +284,23 @@
       return;
     }
     long now = MonotonicClock.millis();
-    switch (choose(triedReplicas, remaining, now)) {
+    Placement placement = choose(triedReplicas, remaining, now);
+    if (placement instanceof Placement.Refuse && !lostReplicas.isEmpty()) {
+      Set<String> excluded = new HashSet<>(triedReplicas);
+      excluded.removeAll(lostReplicas);
+      placement = choose(excluded, remaining, now);
+    }
+    switch (placement) {
       case Placement.Send send -> {
         if (wait != null) {
           wait = null;
           queue().placed(this, now);
         }
+        isInterrupted = false;
         send(send, remaining);
       }
+      case Placement.Wait busy when isStreaming -> awaitContinuation(busy.reason(), now);
+      case Placement.Refuse refusal when isStreaming -> awaitContinuation(refusal.reason(), now);
       case Placement.Wait busy -> await(busy);
       case Placement.Refuse refusal -> giveUp(refusal.reason(), refusal.retryAfterMillis());
     }
@@ -358,9 +391,11 @@
     }
     if (nowMillis >= deadlineMillis) {
       timedOut();
+    } else if (isInterrupted) {
+      tryPlace();
     } else {
       race.running().stream().filter(Attempt::isExpired).forEach(Attempt::recall);
-      if (!race.isEmpty() && route.isRepeatable()) {
+      if (!race.isEmpty() && route.isRepeatable() && !context.stalls().isRecovering(nowMillis)) {
         placeBesideSilent(nowMillis);
       }
     }
@@ -373,16 +408,14 @@
       return;
     }
     silent.forEach(attempt -> attempt.avoidReplica(nowMillis));
-    long remaining = remainingMillis();
     long unsent = silent.stream().filter(attempt -> !attempt.outbound.isSent()).count();
-    if (nowMillis < nextSilenceRetryMillis
-        || attempts + unsent >= route.maxAttempts()
-        || remaining < MIN_REMAINING_MILLIS) {
+    if (nowMillis < nextSilenceRetryMillis || !mayRetry(attempts + unsent)) {
       return;
     }
     nextSilenceRetryMillis = nowMillis + SILENCE_RETRY_MILLIS;
     Set<String> excluded = new HashSet<>(triedReplicas);
     silent.forEach(attempt -> excluded.add(attempt.replica.entry().id()));
+    long remaining = remainingMillis();
     if (choose(excluded, remaining, nowMillis) instanceof Placement.Send other
         && context.retryBudget(service).tryRetry(nowMillis)) {
       silent.forEach(attempt -> attempt.logSilence(other.replica(), nowMillis));
@@ -392,9 +425,11 @@
 
   /** Returns whether the request may be sent again, and takes a retry from the budget if so. */
   private boolean tryAcquireRetry() {
-    return attempts < route.maxAttempts()
-        && remainingMillis() > MIN_REMAINING_MILLIS
-        && context.retryBudget(service).tryRetry(MonotonicClock.millis());
+    return mayRetry(attempts) && context.retryBudget(service).tryRetry(MonotonicClock.millis());
+  }
+
+  private boolean mayRetry(long sends) {
+    return sends < route.maxAttempts() && remainingMillis() > MIN_REMAINING_MILLIS;
   }
 
   private void timedOut() {
@@ -673,7 +708,7 @@
               outdatedMillis(),
               "waitedMs",
               MonotonicClock.millis() - inFlight.sentMillis());
-      triedReplicas.add(replica.entry().id());
+      excludeReplica();
       cancel("outdated weights");
       retryOrGiveUp("its engine's weights were replaced before it started");
     }
@@ -750,6 +785,19 @@
       }
     }
 
+    private void excludeReplica() {
+      triedReplicas.add(replica.entry().id());
+      lostReplicas.remove(replica.entry().id());
+    }
+
+    /** Excludes the replica as long as there is another one, if it may run the prompt again. */
+    private void replicaLost() {
+      excludeReplica();
+      if (request.prompt().isPresent()) {
+        lostReplicas.add(replica.entry().id());
+      }
+    }
+
     /** Returns whether the replica has been silent long enough to justify another attempt. */
     private boolean isSilent(long nowMillis) {
       return inFlight.isStarted()
@@ -810,7 +858,7 @@
                 other.silentMillis(now),
                 "lastEvent",
                 lastEvent);
-        triedReplicas.add(other.replica.entry().id());
+        other.replicaLost();
         other.cancel("overtaken");
       }
     }
@@ -925,7 +973,6 @@
       if (isEnded) {
         return;
       }
-      overtakeOthers();
       long now = MonotonicClock.millis();
       recordProgress(now);
       replica.recordActivity(now);
@@ -937,6 +984,7 @@
         giveUp("an event of the stream is missing");
         return;
       }
+      overtakeOthers();
       if (id >= 0) {
         lastEvent = id;
       }
@@ -987,7 +1035,7 @@
     private void keepFailedAnswer() {
       mayHaveRun = true;
       failedAnswer = this;
-      triedReplicas.add(replica.entry().id());
+      excludeReplica();
     }
 
     private void handleRefusal() {
@@ -1002,7 +1050,7 @@
               replica.entry().id(),
               "status",
               response.status());
-      triedReplicas.add(replica.entry().id());
+      excludeReplica();
       String responder = CallFormat.replicaId(head.fields());
       if (response.isMisdirected()) {
         if (!responder.isEmpty() && !responder.equals(replica.entry().id())) {
@@ -1058,7 +1106,7 @@
       end();
       if (!outbound.isSent() && isObsolete()) {
         context.log().event("not-sent", "request", request.id(), "replica", replica.entry().id());
-        triedReplicas.add(replica.entry().id());
+        excludeReplica();
         place();
         return;
       }
@@ -1081,8 +1129,8 @@
         responseLost(detail);
       } else {
         replica.markUnreachable(MonotonicClock.millis());
-        triedReplicas.add(replica.entry().id());
-        if (++connectFailures >= MAX_CONNECT_FAILURES && race.isEmpty()) {
+        excludeReplica();
+        if (++connectFailures >= MAX_CONNECT_FAILURES && race.isEmpty() && !isStreaming) {
           giveUp(detail);
         } else {
           place();
@@ -1092,7 +1140,7 @@
 
     private void responseLost(String detail) {
       attemptEnd = "upstream failed";
-      triedReplicas.add(replica.entry().id());
+      replicaLost();
       if (isStreaming && !route.isResumable()) {
         giveUp(detail);
       } else {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -197,6 +197,10 @@
 
   private void tick() {
     long now = MonotonicClock.millis();
+    long stalledMillis = context.stalls().tick(now);
+    if (stalledMillis > 0) {
+      context.log().event("stalled", "forMs", stalledMillis, "running", exchanges.size());
+    }
     // A failure of one step must not keep the others from being taken.
     for (Exchange exchange : List.copyOf(exchanges)) {
       loop.run(() -> exchange.tickOrGiveUp(now));
