--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -100,6 +100,7 @@
   private boolean isDone;
   private long lastEvent = -1;
   private boolean isStreaming;
+  private boolean hasUnnumberedEvents;
   private long lastProgressMillis;
   private long firstEventAfterMillis = -1;
   private long longestPauseMillis;
@@ -429,7 +430,9 @@
   }
 
   private boolean mayRetry(long sends) {
-    return sends < route.maxAttempts() && remainingMillis() > MIN_REMAINING_MILLIS;
+    return sends < route.maxAttempts()
+        && !hasUnnumberedEvents
+        && remainingMillis() > MIN_REMAINING_MILLIS;
   }
 
   private void timedOut() {
@@ -603,6 +606,9 @@
     private int weightVersion;
     private ResponseHead head;
     private UpstreamResponse response;
+    private boolean isForwardingEvents;
+    private boolean isContinuation;
+    private boolean hasForwardedEvents;
     private boolean isEnded;
 
     Attempt(Replica replica, Placement.Send placement) {
@@ -926,7 +932,7 @@
       if (outdatedMillis > 0) {
         logOutdatedStart(outdatedMillis, now - inFlight.sentMillis());
       }
-      if (route.kind() == RouteKind.STREAM) {
+      if (route.kind() == RouteKind.STREAM && response.isEventStream()) {
         if (placement.isAlone() && placement.cache().transferMillis() == 0) {
           context
               .prefillRate()
@@ -937,7 +943,11 @@
     }
 
     private void startStream() {
-      overtakeOthers();
+      isForwardingEvents = true;
+      isContinuation = firstEventAfterMillis >= 0;
+      if (!isContinuation) {
+        overtakeOthers();
+      }
       lastProgressMillis = MonotonicClock.millis();
       if (!isStreaming) {
         isStreaming = true;
@@ -951,7 +961,7 @@
       if (isEnded) {
         return;
       }
-      if (isStreaming && response.isSuccess()) {
+      if (isForwardingEvents) {
         splitter.feed(bytes, this::forwardEvent);
         if (splitter.isTooLong()) {
           rejectResponse("an event of the stream is too long");
@@ -973,24 +983,43 @@
       if (isEnded) {
         return;
       }
-      long now = MonotonicClock.millis();
-      recordProgress(now);
-      replica.recordActivity(now);
-      if (id >= 0 && lastEvent >= 0 && id != lastEvent + 1) {
+      if (!isNextEvent(id)) {
         context
             .log()
-            .event("event-out-of-order", "request", request.id(), "event", id, "after", lastEvent);
-        cancel("event out of order");
-        giveUp("an event of the stream is missing");
+            .event(
+                "event-out-of-order",
+                "request",
+                request.id(),
+                "replica",
+                replica.entry().id(),
+                "event",
+                id,
+                "after",
+                lastEvent);
+        rejectResponse("an event of the stream is out of order");
         return;
       }
       overtakeOthers();
+      long now = MonotonicClock.millis();
+      recordProgress(now);
+      replica.recordActivity(now);
       if (id >= 0) {
         lastEvent = id;
+      } else {
+        hasUnnumberedEvents = true;
       }
+      hasForwardedEvents = true;
       caller.body(ByteBuffer.wrap(bytes));
     }
 
+    /** Returns whether an event follows the last one; the first of a continuation has a number. */
+    private boolean isNextEvent(long id) {
+      if (id < 0) {
+        return !isContinuation || hasForwardedEvents;
+      }
+      return lastEvent < 0 || id == lastEvent + 1;
+    }
+
     /** Records the time to the first event and the longest pause between events. */
     private void recordProgress(long nowMillis) {
       if (firstEventAfterMillis < 0) {
@@ -1012,18 +1041,18 @@
           MonotonicClock.millis());
       if (response.isRefusal()) {
         handleRefusal();
-      } else if (response.isSuccess() && isStreaming) {
+      } else if (isForwardingEvents) {
         streamEnded();
       } else if (!response.isSigned() || response.isEncoded()) {
         replica.breaker().failed(MonotonicClock.millis());
         mayHaveRun = true;
         responseLost("an answer that is not the upstream's, status " + response.status());
+      } else if (isStreaming) {
+        mayHaveRun = true;
+        responseLost("an answer that cannot continue the stream, status " + response.status());
       } else if (!response.isSuccess() && !race.isEmpty()) {
         keepFailedAnswer();
-      } else if (response.isServerError()
-          && route.isRepeatable()
-          && !isStreaming
-          && tryAcquireRetry()) {
+      } else if (response.isServerError() && route.isRepeatable() && tryAcquireRetry()) {
         keepFailedAnswer();
         place();
       } else {
@@ -1067,6 +1096,10 @@
         responseLost("the stream ended in the middle of an event");
         return;
       }
+      if (isContinuation && !hasForwardedEvents) {
+        responseLost("the stream was continued without an event");
+        return;
+      }
       finishAnswered();
       caller.complete();
     }
