Soak: silences, wrong responses, foreign entries and changed limits

Now replicas fall silent for 1 to 2 s and go on, alone, together or while others refuse; replicas repeat an earlier refusal with and without its id, or break streams off and answer the resumed ones with an error; foreign entries stand among those of the replicas while some leave; configurations change timeouts and the idle limit; and callers pause on open connections for up to four fifths of that limit.

The observer counts the silence of a replica as no trouble, and checks two more promises: no call fails while sound replicas execute it, and replicas that leave get no more calls. A caller that meets bytes that are no response no longer ends its thread, which hid them from the checks.

--- a/rig/src/main/java/org/bulrushpier/rig/gateway/CallerFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/CallerFake.java
@@ -57,7 +57,7 @@
   /**
    * What the caller received. Immutable and thread-safe.
    *
-   * @param status the status, or 0 if no response began
+   * @param status the status, 0 if no response began, or -1 if its head cannot be read
    * @param id the id of the call that the response names
    * @param body the body as far as it was received
    * @param isWhole whether the response ended normally
@@ -122,9 +122,12 @@
    *
    * @param version the version
    * @param keys the key of each customer
+   * @param timeoutMillis the timeout of each route, in milliseconds
+   * @param idleTimeoutMillis how long a connection may be idle, in milliseconds
    * @return the configuration as JSON
    */
-  public static String configuration(int version, Map<String, String> keys) {
+  public static String configuration(
+      int version, Map<String, String> keys, long timeoutMillis, long idleTimeoutMillis) {
     StringBuilder routes = new StringBuilder();
     for (Route route : Route.values()) {
       boolean isOnce = route == Route.ONCE;
@@ -134,9 +137,10 @@
               "{\"name\":\"%1$s\",\"host\":\"%2$s\",\"path_prefix\":\"/%1$s/\","
                   .formatted(name(route), HOST))
           .append(
-              "\"kind\":\"%s\",\"timeout_ms\":20000,\"goal_ms\":1000,\"service\":\"%s\","
+              "\"kind\":\"%s\",\"timeout_ms\":%d,\"goal_ms\":1000,\"service\":\"%s\","
                   .formatted(
                       route.isGeneration() ? "streaming" : isOnce ? "non_idempotent" : "safe",
+                      timeoutMillis,
                       route.isGeneration() ? "engines" : "plain"))
           .append(
               "\"max_attempts\":%d,\"can_resume\":%b}"
@@ -153,8 +157,9 @@
     return ("{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"plain\",\"max_conns\":50},"
             + "{\"name\":\"engines\",\"max_conns\":50,\"engine\":{\"slots\":6,"
             + "\"kv_capacity\":50000,\"kv_bytes\":1000,\"link_mbps\":1000.0,"
-            + "\"models\":[{\"name\":\"m0\"}]}}],\"limits\":{},\"tenants\":[%s]}")
-        .formatted(version, routes, customers);
+            + "\"models\":[{\"name\":\"m0\"}]}}],\"limits\":{\"idle_timeout_ms\":%d},"
+            + "\"tenants\":[%s]}")
+        .formatted(version, routes, idleTimeoutMillis, customers);
   }
 
   private static String name(Route route) {
@@ -198,7 +203,7 @@
     StringBuilder body = new StringBuilder();
     try {
       RawHttpServer.send(socket, request);
-      status = Integer.parseInt(line().split(" ")[1]);
+      status = statusCode(line(), body);
       for (String line = line(); !line.isEmpty(); line = line()) {
         String[] header = line.split(":", 2);
         headers.put(header[0].toLowerCase(Locale.ROOT), header[1].strip());
@@ -206,7 +211,7 @@
       if (headers.containsKey("content-length")) {
         read(Integer.parseInt(headers.get("content-length")), body);
       } else {
-        for (int size = chunkSize(); size > 0; size = chunkSize()) {
+        for (int size = chunkSize(body); size > 0; size = chunkSize(body)) {
           read(size, body);
           line();
         }
@@ -224,8 +229,24 @@
         status, headers.getOrDefault("attempt-id", ""), body.toString(), isWhole, detail);
   }
 
-  private int chunkSize() throws IOException {
-    return Integer.parseInt(line(), HEXADECIMAL);
+  /** Returns the status code of a status line, or -1 if the line is none. */
+  private static int statusCode(String line, StringBuilder body) {
+    if (line.matches("HTTP/1\\.1 \\d{3}( .*)?")) {
+      return Integer.parseInt(line.split(" ")[1]);
+    }
+    body.append(line);
+    return -1;
+  }
+
+  /** Reads the size of the next chunk; another line in its place is taken as part of the body. */
+  private int chunkSize(StringBuilder body) throws IOException {
+    String line = line();
+    try {
+      return Integer.parseInt(line, HEXADECIMAL);
+    } catch (NumberFormatException e) {
+      body.append(line);
+      throw new IOException("no chunk size: " + line);
+    }
   }
 
   private void read(int size, StringBuilder body) throws IOException {
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
@@ -76,18 +77,33 @@
     commit(kind + "/" + name, json.readTree(content));
   }
 
+  /**
+   * Writes an object whose spec need not be valid JSON, in place of other software.
+   *
+   * @param kind the kind
+   * @param name the name
+   * @param spec the spec, which is returned as it is
+   */
+  public synchronized void putRaw(String kind, String name, String spec) {
+    commit(kind + "/" + name, json.getNodeFactory().rawValueNode(new RawValue(spec)));
+  }
+
   /**
    * Writes a replica's registry entry unless it is already stored or the store is down.
    *
    * @param replica the replica
    * @param service the name of its service
+   * @param state {@code ready} or {@code draining}
+   * @return true, or false if the store is down
    * @throws IOException if the entry is not valid JSON
    */
-  public synchronized void register(ReplicaFake replica, String service) throws IOException {
-    String entry = replica.entry(service, "ready");
+  public synchronized boolean register(ReplicaFake replica, String service, String state)
+      throws IOException {
+    String entry = replica.entry(service, state);
     if (!isDown && !json.readTree(entry).equals(content(StoreFormat.REPLICAS, replica.id()))) {
       put(StoreFormat.REPLICAS, replica.id(), entry);
     }
+    return !isDown;
   }
 
   /**
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -10,6 +10,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.WeakHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -40,6 +41,12 @@
     FAIL,
     /** Closes the connection within the third event of a stream that was not resumed. */
     CUT_STREAM,
+    /** Like {@link #CUT_STREAM}, and answers 500 with the replica's seal to resumed streams. */
+    CUT_STREAM_FAIL_RESUMED,
+    /** Refuses each other request of a connection, and sends the refusal again with the next. */
+    REPEAT_REFUSAL,
+    /** Like {@link #REPEAT_REFUSAL}, without the id of the refused request. */
+    REPEAT_REFUSAL_WITHOUT_ID,
     /** Executes the request and never responds; closes the connection on release. */
     SILENT,
     /** Pauses the stream after its first event until the replica is released. */
@@ -89,10 +96,12 @@
   private final Deque<Object> waiting = new ArrayDeque<>();
   private final List<Execution> executions = new ArrayList<>();
   private final List<String> orders = new ArrayList<>();
+  private final Map<Socket, String> refusals = new WeakHashMap<>();
   private final CountDownLatch released = new CountDownLatch(1);
   private final AtomicLong endlessBytes = new AtomicLong();
   private Behaviour behaviour = Behaviour.ANSWER;
   private Pace pace = new Pace(0, 0, 0);
+  private long silentUntilMillis = Long.MIN_VALUE / 2;
   private OrderBehaviour orderBehaviour = OrderBehaviour.PROMPT;
   private long ordersDelayedUntilMillis;
   private boolean isChanging;
@@ -204,6 +213,23 @@
     pace = next;
   }
 
+  /**
+   * Holds back all further bytes of responses to calls, also of those that are running.
+   *
+   * @param millis how long, in milliseconds
+   */
+  public synchronized void fallSilent(long millis) {
+    silentUntilMillis = Math.max(silentUntilMillis, MonotonicClock.millis() + millis);
+  }
+
+  private void awaitEndOfSilence() {
+    Faults.sleep(silenceLeftMillis());
+  }
+
+  private synchronized long silenceLeftMillis() {
+    return Math.max(0, silentUntilMillis - MonotonicClock.millis());
+  }
+
   /**
    * Changes how orders are handled.
    *
@@ -377,13 +403,22 @@
     Behaviour current;
     Execution execution = null;
     boolean isMisdirected;
+    boolean isRefused;
+    String repeated;
     synchronized (this) {
       current = behaviour;
       String expectedVersion = request.header("expect-version");
       isMisdirected =
           !request.header("expect-instance").equals(id)
               || !(expectedVersion.isEmpty() || expectedVersion.equals("" + version));
-      if (!isMisdirected && current != Behaviour.REFUSE) {
+      boolean repeats =
+          current == Behaviour.REPEAT_REFUSAL || current == Behaviour.REPEAT_REFUSAL_WITHOUT_ID;
+      repeated = repeats && !isMisdirected ? refusals.remove(socket) : null;
+      isRefused = current == Behaviour.REFUSE || (repeats && repeated == null);
+      if (repeats && isRefused && !isMisdirected) {
+        refusals.put(socket, refusal(request, current));
+      }
+      if (!isMisdirected && !isRefused) {
         execution = new Execution(id, version, request.target(), request.headers(), request.body());
         executions.add(execution);
         listener.accept(execution);
@@ -397,11 +432,16 @@
         "Attempt-Id: " + request.header("attempt-id") + "\r\nServer-Seal: " + id + "\r\n";
     if (execution != null) {
       attemptHeaders += weightsHeader(execution);
+      if (repeated != null) {
+        RawHttpServer.send(socket, repeated);
+      }
       Faults.sleep(startMillis());
+      awaitEndOfSilence();
+    }
+    if (isRefused) {
+      return sendAll(socket, refusal(request, current));
     }
     return switch (current) {
-      case REFUSE ->
-          sendAll(socket, "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       case LOSE_ANSWER -> false;
       case FAIL ->
           sendAll(socket, "HTTP/1.1 500 X\r\n" + attemptHeaders + "Content-Length: 4\r\n\r\nfail");
@@ -413,11 +453,23 @@
               socket,
               "HTTP/1.1 200 X\r\n" + attemptHeaders + "Transfer-Encoding: chunked\r\n\r\n",
               "400\r\n" + "a".repeat(1_024) + "\r\n");
-      case SILENT, HOLD_STREAM, CUT_STREAM, ANSWER -> {
+      case SILENT,
+          HOLD_STREAM,
+          CUT_STREAM,
+          CUT_STREAM_FAIL_RESUMED,
+          REPEAT_REFUSAL,
+          REPEAT_REFUSAL_WITHOUT_ID,
+          REFUSE,
+          ANSWER -> {
         if (current == Behaviour.SILENT) {
           awaitRelease();
           yield false;
         }
+        if (current == Behaviour.CUT_STREAM_FAIL_RESUMED
+            && request.headers().containsKey("last-event-id")) {
+          yield sendAll(
+              socket, "HTTP/1.1 500 X\r\n" + attemptHeaders + "Content-Length: 4\r\n\r\nfail");
+        }
         yield request.headers().containsKey("model")
             ? stream(request, socket, attemptHeaders, current)
             : sendAll(
@@ -426,6 +478,14 @@
     };
   }
 
+  private static String refusal(RawHttpServer.Request request, Behaviour behaviour) {
+    String id =
+        behaviour == Behaviour.REPEAT_REFUSAL
+            ? "Attempt-Id: " + request.header("attempt-id") + "\r\n"
+            : "";
+    return "HTTP/1.1 503 X\r\n" + id + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  }
+
   private static String weightsHeader(Execution execution) {
     return execution.isGeneration() ? "Weight-Versions: " + execution.version() + "\r\n" : "";
   }
@@ -474,13 +534,16 @@
             + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     int firstEvent = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0")) + 1;
     for (int event = firstEvent; event <= events(request); event++) {
-      if (current == Behaviour.CUT_STREAM && firstEvent == 1 && event == 3) {
+      boolean isCut =
+          current == Behaviour.CUT_STREAM || current == Behaviour.CUT_STREAM_FAIL_RESUMED;
+      if (isCut && firstEvent == 1 && event == 3) {
         sendChunk(socket, "id: " + event + "\nda");
         return false;
       }
       if (event > firstEvent) {
         Faults.sleep(eventMillis());
       }
+      awaitEndOfSilence();
       sendChunk(socket, "id: " + event + "\ndata: " + event + "\n\n");
       if (current == Behaviour.HOLD_STREAM && event == firstEvent) {
         awaitRelease();
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Client.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Client.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.Faults;
 import org.bulrushpier.rig.gateway.CallerFake;
 import org.bulrushpier.rig.gateway.CallerFake.Answer;
@@ -21,6 +22,10 @@
   private static final long WAIT_MILLIS = 6_000;
   private static final int TIMEOUT_MILLIS = 8_000;
   private static final int MAX_PAUSE_MILLIS = 400;
+
+  /** One in so many calls over a connection that is kept comes after a long pause. */
+  private static final int LONG_PAUSES = 8;
+
   private static final int SESSIONS = 30;
   private static final int MAX_EVENTS = 40;
   private static final int LONG_EVENTS = 100;
@@ -31,6 +36,7 @@
   private final boolean keepsConnection;
   private final Random random;
   private int calls;
+  private long idleSinceMillis;
   private CallerFake caller;
   private Instance instance;
   private Instance.Run run;
@@ -53,7 +59,7 @@
   public void run() {
     try {
       while (!isStopped) {
-        Faults.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+        pause();
         List<Instance> ready = site.instances().stream().filter(Instance::isReady).toList();
         if (caller != null
             || (!ready.isEmpty() && connect(ready.get(random.nextInt(ready.size()))))) {
@@ -70,12 +76,31 @@
     }
   }
 
+  /** Waits before the next call, at times for long on an open connection. */
+  private void pause() throws IOException {
+    if (caller == null || random.nextInt(LONG_PAUSES) > 0) {
+      Faults.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+    } else {
+      long longest = observer.longestPauseMillis(instance, run, idleSinceMillis);
+      Faults.sleep((long) (random.nextDouble() * longest));
+    }
+    if (caller != null
+        && idleMillis() > observer.longestPauseMillis(instance, run, idleSinceMillis)) {
+      disconnect();
+    }
+  }
+
+  private long idleMillis() {
+    return MonotonicClock.millis() - idleSinceMillis;
+  }
+
   /** Connects to an instance; returns false if it cannot be reached. */
   boolean connect(Instance target) {
     try {
       instance = target;
       run = target.run();
       caller = CallerFake.open(target.callerAddress(), TIMEOUT_MILLIS);
+      idleSinceMillis = MonotonicClock.millis();
       return true;
     } catch (IOException e) {
       caller = null;
@@ -96,8 +121,9 @@
             random.nextInt(SESSIONS),
             events,
             WAIT_MILLIS);
-    observer.callBegins(call, customers.get(customer), instance, run);
+    observer.callBegins(call, customers.get(customer), instance, run, idleSinceMillis);
     Answer answer = caller.send(call);
+    idleSinceMillis = MonotonicClock.millis();
     observer.callEnds(call, answer);
     if (!answer.isWhole() || !keepsConnection) {
       disconnect();
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
@@ -13,7 +13,16 @@
   record RequestVersion() implements Fault {}
 
   /** An operator stores another version of the configuration. */
-  record Configure() implements Fault {}
+  record Configure(long timeoutMillis, long idleTimeoutMillis) implements Fault {}
+
+  /** Other software writes an entry among those of the replicas and removes it later. */
+  record WriteForeignEntry(String entry, long millis) implements Fault {}
+
+  /** A replica says that it leaves, and is ready again some time later. */
+  record Leave(int replica, long millis) implements Fault {}
+
+  /** A replica sends nothing for some time and goes on, which is no fault of its own. */
+  record FallSilent(int replica, long millis) implements Fault {}
 
   /** An engine handles orders in the given way for some time. */
   record WithholdOrders(int engine, OrderBehaviour behaviour, long millis) implements Fault {}
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.Faults;
 import org.bulrushpier.rig.gateway.CallerFake.Answer;
@@ -31,6 +33,15 @@
 
   private static final long HEARTBEAT_MILLIS = 20;
 
+  /** The time after which a stored configuration or a leaving replica is known, in ms. */
+  private static final long CHANGE_KNOWN_MILLIS = 2_000;
+
+  /** The part of the idle timeout for which callers use a connection again. */
+  private static final double REUSED_SHARE = 0.8;
+
+  /** How long before the end of the time for a change generations may be recalled, in ms. */
+  private static final long RECALL_MILLIS = 1_000;
+
   /** The checked promises. */
   enum Promise {
     /** No generation starts on weights that have been outdated for longer than allowed. */
@@ -47,8 +58,12 @@
     CUSTOMER,
     /** SIGTERM cuts off no call in progress. */
     TERMINATION,
-    /** No call is cut off without a fault that explains it. */
+    /** No call is cut off without a fault that explains it; the silence of a replica is none. */
     CUT_OFF,
+    /** No call that replicas without a fault execute fails before its time is over. */
+    UNANSWERED,
+    /** A replica that leaves gets no more calls. */
+    LEFT,
     /** After all faults, every engine serves the newest version and calls are answered. */
     RECOVERY
   }
@@ -57,26 +72,34 @@
   private final Map<String, CallRecord> calls = new ConcurrentHashMap<>();
   private final Map<Integer, Long> requestedMillis = new ConcurrentHashMap<>();
   private final Map<String, Long> faultyUntilMillis = new ConcurrentHashMap<>();
+  private final Map<String, Long> leftMillis = new ConcurrentHashMap<>();
+  private final List<StoredConfiguration> configurations = new CopyOnWriteArrayList<>();
   private final Map<Promise, List<String>> violations = new TreeMap<>();
   private final Map<String, Integer> counts = new TreeMap<>();
   private volatile long heartbeatMillis = MonotonicClock.millis();
   private volatile long stalledUntilMillis = Long.MIN_VALUE;
 
+  /** The limits of a configuration and the moment at which it was stored. */
+  private record StoredConfiguration(long millis, long timeoutMillis, long idleTimeoutMillis) {}
+
   /** A call with what is known of its executions and its answer. Guarded by its own lock. */
   private static final class CallRecord {
     private final Call call;
     private final String customer;
     private final Instance instance;
     private final Instance.Run run;
+    private final long idleSinceMillis;
     private final long beginMillis = MonotonicClock.millis();
     private final List<Execution> executions = new ArrayList<>();
     private boolean isRefused;
 
-    CallRecord(Call call, String customer, Instance instance, Instance.Run run) {
+    CallRecord(
+        Call call, String customer, Instance instance, Instance.Run run, long idleSinceMillis) {
       this.call = call;
       this.customer = customer;
       this.instance = instance;
       this.run = run;
+      this.idleSinceMillis = idleSinceMillis;
     }
 
     String text() {
@@ -124,9 +147,52 @@
     faultyUntilMillis.merge(replica, MonotonicClock.millis() + millis, Math::max);
   }
 
-  /** Records a call before it is sent. */
-  void callBegins(Call call, String customer, Instance instance, Instance.Run run) {
-    calls.put(call.id(), new CallRecord(call, customer, instance, run));
+  /** Records that a configuration with the given limits is about to be stored. */
+  void configurationStored(long timeoutMillis, long idleTimeoutMillis) {
+    configurations.add(
+        new StoredConfiguration(MonotonicClock.millis(), timeoutMillis, idleTimeoutMillis));
+  }
+
+  /** Returns the configurations that may have been in force at an instance since a moment. */
+  private Stream<StoredConfiguration> configurationsSince(
+      Instance instance, Instance.Run run, long millis) {
+    if (!instance.isInContact(run)) {
+      return configurations.stream();
+    }
+    long since = millis - CHANGE_KNOWN_MILLIS;
+    long first =
+        configurations.stream()
+            .mapToLong(StoredConfiguration::millis)
+            .filter(stored -> stored <= since)
+            .max()
+            .orElse(Long.MIN_VALUE);
+    return configurations.stream().filter(stored -> stored.millis() >= first);
+  }
+
+  /** Returns for how long a connection that has been idle since a moment may be used again. */
+  long longestPauseMillis(Instance instance, Instance.Run run, long idleSinceMillis) {
+    long limit =
+        configurationsSince(instance, run, idleSinceMillis)
+            .mapToLong(StoredConfiguration::idleTimeoutMillis)
+            .min()
+            .orElse(Long.MAX_VALUE);
+    return (long) (REUSED_SHARE * limit);
+  }
+
+  /** Records that the store acknowledged that a replica leaves. */
+  void replicaLeft(String replica) {
+    leftMillis.putIfAbsent(replica, MonotonicClock.millis());
+  }
+
+  /** Records that a replica is about to be ready again. */
+  void replicaReturns(String replica) {
+    leftMillis.remove(replica);
+  }
+
+  /** Records a call before it is sent over a connection that was idle for some time. */
+  void callBegins(
+      Call call, String customer, Instance instance, Instance.Run run, long idleSinceMillis) {
+    calls.put(call.id(), new CallRecord(call, customer, instance, run, idleSinceMillis));
   }
 
   /** Checks an execution at its start. */
@@ -153,6 +219,7 @@
       if (execution.isGeneration()) {
         checkVersion(record, execution, text);
       }
+      checkLeft(record, execution, text);
     }
   }
 
@@ -175,6 +242,17 @@
     }
   }
 
+  private void checkLeft(CallRecord record, Execution execution, String text) {
+    Long left = leftMillis.get(execution.replica());
+    if (left != null
+        && record.beginMillis - left > CHANGE_KNOWN_MILLIS
+        && record.instance.isInContact(record.run)
+        && !wasStalledSince(left)) {
+      long millis = MonotonicClock.millis() - left;
+      violated(Promise.LEFT, text + ", which left " + millis + " ms ago");
+    }
+  }
+
   /** Checks what the caller of a call received. */
   void callEnds(Call call, Answer answer) {
     CallRecord record = calls.get(call.id());
@@ -189,11 +267,16 @@
               text + " was refused (" + answer.detail() + ") but executed by " + replicas(record));
         }
       }
+      if (answer.status() < 0) {
+        violated(Promise.ANSWER, text + " got '" + answer.body() + "' in place of a head");
+      }
       if (answer.status() == 200) {
         checkContent(call, answer, text);
       }
       if (!answer.isWhole()) {
         checkCutOff(record, answer, text);
+      } else if (answer.status() == 502 || answer.status() == 504) {
+        checkUnanswered(record, answer, text);
       } else if (record.beginMillis < record.run.terminatedMillis()
           && record.run.terminatedMillis() < MonotonicClock.millis()) {
         count("answersAfterTermination");
@@ -218,21 +301,58 @@
     }
   }
 
+  /** Checks that a call that failed was not being executed by a replica without a fault. */
+  private void checkUnanswered(CallRecord record, Answer answer, String text) {
+    long now = MonotonicClock.millis();
+    boolean wasRecalled =
+        record.executions.stream()
+            .map(execution -> requestedMillis.get(execution.version() + 1))
+            .anyMatch(
+                requested ->
+                    requested != null && now - requested > SoakSite.CHANGE_MILLIS - RECALL_MILLIS);
+    if (!record.executions.isEmpty()
+        && !wasRecalled
+        && !hasFault(record)
+        && now - record.run.terminatedMillis() < GRACE_MILLIS) {
+      violated(
+          Promise.UNANSWERED,
+          "%s: %d %s, executed by [%s]"
+              .formatted(text, answer.status(), answer.detail(), replicas(record)));
+    }
+  }
+
+  /** Returns whether a fault or the end of its time explains that a call got no whole answer. */
+  private boolean hasFault(CallRecord record) {
+    long time =
+        configurationsSince(record.instance, record.run, record.beginMillis)
+            .mapToLong(StoredConfiguration::timeoutMillis)
+            .reduce(record.call.waitMillis(), Math::min);
+    return record.run.isKilled()
+        || record.instance.wasPausedSince(record.beginMillis)
+        || MonotonicClock.millis() - record.beginMillis > time - DEADLINE_MARGIN_MILLIS
+        || record.executions.stream()
+            .anyMatch(
+                execution ->
+                    faultyUntilMillis.getOrDefault(execution.replica(), Long.MIN_VALUE)
+                        >= record.beginMillis)
+        || wasStalledSince(record.beginMillis);
+  }
+
   /** Checks that a call without a whole answer was cut off by a fault other than SIGTERM. */
   private void checkCutOff(CallRecord record, Answer answer, String text) {
     long now = MonotonicClock.millis();
     long terminated = record.run.terminatedMillis();
     boolean hasCause =
-        record.run.isKilled()
-            || record.instance.wasPausedSince(record.beginMillis)
-            || now - record.beginMillis > record.call.waitMillis() - DEADLINE_MARGIN_MILLIS
-            || record.executions.stream()
-                .anyMatch(
-                    execution ->
-                        faultyUntilMillis.getOrDefault(execution.replica(), Long.MIN_VALUE)
-                            >= record.beginMillis)
-            || wasStalledSince(record.beginMillis);
-    String detail = text + ": " + answer.detail() + ", executed by [" + replicas(record) + "]";
+        hasFault(record)
+            || record.beginMillis - record.idleSinceMillis
+                > longestPauseMillis(record.instance, record.run, record.idleSinceMillis);
+    String detail =
+        "%s: %s, executed by [%s], sent after a pause of %d ms"
+            .formatted(
+                text,
+                answer.detail(),
+                replicas(record),
+                record.beginMillis - record.idleSinceMillis);
     if (!hasCause && terminated == Long.MAX_VALUE) {
       violated(Promise.CUT_OFF, detail);
     } else if (!hasCause && record.beginMillis < terminated && now - terminated < GRACE_MILLIS) {
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -20,6 +20,9 @@
   private static final long FIRST_MILLIS = 1_000;
   private static final long MIN_GAP_MILLIS = 300;
   private static final long MAX_GAP_MILLIS = 3_500;
+  private static final long[] TIMEOUTS_MILLIS = {4_000, 7_000, 20_000};
+  private static final long[] IDLE_TIMEOUTS_MILLIS = {2_000, 5_000, 15_000};
+  private static final int FOREIGN_SIZE = 3_000;
 
   /**
    * A fault and its start. Immutable and thread-safe.
@@ -55,12 +58,15 @@
     Schedule draw() {
       versions();
       while (millis < endMillis) {
-        switch (random.nextInt(17)) {
+        switch (random.nextInt(27)) {
           case 0, 1, 2, 3 -> versions();
           case 4, 5, 6, 7 -> restarts();
           case 8, 9 -> pauses();
           case 10, 11 -> storeFaults();
-          case 12 -> configurations();
+          case 12, 13, 14 -> configurations();
+          case 15, 16, 17, 18 -> silences();
+          case 19, 20 -> wrongResponses();
+          case 21, 22 -> foreignEntries();
           default -> replicaFaults();
         }
         millis += between(MIN_GAP_MILLIS, MAX_GAP_MILLIS);
@@ -152,10 +158,73 @@
 
     private void configurations() {
       for (int i = random.nextInt(4); i >= 0; i--) {
-        add(between(0, 1_000), new Fault.Configure());
+        add(
+            between(0, 1_000),
+            new Fault.Configure(
+                TIMEOUTS_MILLIS[random.nextInt(TIMEOUTS_MILLIS.length)],
+                IDLE_TIMEOUTS_MILLIS[random.nextInt(IDLE_TIMEOUTS_MILLIS.length)]));
       }
     }
 
+    /** All replicas of a service fall silent, or some do while the others refuse. */
+    private void silences() {
+      boolean isPlain = random.nextInt(3) == 0;
+      int first = isPlain ? engines : 0;
+      int count = isPlain ? replicas - engines : engines;
+      int silent = random.nextBoolean() ? count : 1 + random.nextInt(count);
+      for (int i = 0; i < count; i++) {
+        int replica = first + i;
+        long start = between(0, 400);
+        long duration = between(1_000, 2_000);
+        add(
+            start,
+            i < silent
+                ? new Fault.FallSilent(replica, duration)
+                : new Fault.Misbehave(replica, Behaviour.REFUSE, duration));
+      }
+      if (random.nextBoolean()) {
+        configurations();
+      }
+      if (random.nextInt(3) == 0) {
+        add(between(0, 1_500), restart(random.nextInt(instances)));
+      }
+    }
+
+    /** Repeated refusals, or streams that break off and go on with an error. */
+    private void wrongResponses() {
+      Behaviour[] behaviours = {
+        Behaviour.REPEAT_REFUSAL,
+        Behaviour.REPEAT_REFUSAL_WITHOUT_ID,
+        Behaviour.CUT_STREAM_FAIL_RESUMED
+      };
+      Behaviour behaviour = behaviours[random.nextInt(behaviours.length)];
+      long duration = between(1_000, 3_000);
+      for (int replica = 0; replica < replicas; replica++) {
+        if (random.nextInt(3) > 0) {
+          add(between(0, 300), new Fault.Misbehave(replica, behaviour, duration));
+        }
+      }
+    }
+
+    /** Foreign entries among those of the replicas, of which some leave meanwhile. */
+    private void foreignEntries() {
+      String[] entries = {
+        "[".repeat(FOREIGN_SIZE) + "]".repeat(FOREIGN_SIZE),
+        "{\"slots\":" + "9".repeat(FOREIGN_SIZE) + "}",
+        "{\"slots\":1e999999999}",
+        "{\"service\":\"engines\",\"address\":\"127.0.0.1:99999\",\"state\":\"ready\"}"
+      };
+      long duration = between(4_000, 9_000);
+      add(0, new Fault.WriteForeignEntry(entries[random.nextInt(entries.length)], duration));
+      if (random.nextBoolean()) {
+        add(between(0, 1_500), restart(random.nextInt(instances)));
+      }
+      add(between(200, 1_000), new Fault.Leave(random.nextInt(engines), between(3_000, 6_000)));
+      add(
+          between(200, 1_000),
+          new Fault.Leave(engines + random.nextInt(replicas - engines), between(3_000, 6_000)));
+    }
+
     private void replicaFaults() {
       Behaviour[] behaviours = {
         Behaviour.REFUSE, Behaviour.LOSE_ANSWER, Behaviour.FAIL, Behaviour.CUT_STREAM
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -11,7 +11,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -53,6 +56,8 @@
   private static final Pace PACE = new Pace(40, 25, 250);
   private static final Pace SLOW_PACE = new Pace(400, 100, 250);
   private static final long REGISTRATION_MILLIS = 100;
+  private static final long TIMEOUT_MILLIS = 20_000;
+  private static final long IDLE_TIMEOUT_MILLIS = 15_000;
   private static final int LOOPBACK_NETS = 250;
 
   private final Observer observer;
@@ -62,6 +67,8 @@
   private final List<ProxyLink> links = new ArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
   private final Map<String, String> keys = new TreeMap<>();
+  private final Set<ReplicaFake> leaving = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger foreignEntries = new AtomicInteger();
   private int configuration;
   private int version = 1;
   private int storeOutages;
@@ -77,7 +84,7 @@
   /** Starts the fakes and the instances; each becomes ready by itself. */
   static SoakSite start(Launcher launcher, Observer observer) throws IOException {
     SoakSite site = new SoakSite(observer);
-    site.configure();
+    site.configure(TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
     for (int i = 0; i < REPLICAS; i++) {
       String id = i < ENGINES ? "engine-" + i : "plain-" + i;
       ReplicaFake replica = ReplicaFake.start(id, SLOTS, observer::executionStarts);
@@ -167,7 +174,7 @@
     while (!Thread.currentThread().isInterrupted()) {
       for (int i = 0; i < REPLICAS; i++) {
         try {
-          store.register(replicas.get(i), i < ENGINES ? "engines" : "plain");
+          register(replicas.get(i), i < ENGINES ? "engines" : "plain");
         } catch (IOException e) {
           throw new IllegalStateException(e);
         }
@@ -176,6 +183,17 @@
     }
   }
 
+  private void register(ReplicaFake replica, String service) throws IOException {
+    if (leaving.contains(replica)) {
+      if (store.register(replica, service, "draining")) {
+        observer.replicaLeft(replica.id());
+      }
+    } else {
+      observer.replicaReturns(replica.id());
+      store.register(replica, service, "ready");
+    }
+  }
+
   List<Instance> instances() {
     return instances;
   }
@@ -204,7 +222,19 @@
   void play(Fault fault) {
     switch (fault) {
       case Fault.RequestVersion request -> requestVersion();
-      case Fault.Configure change -> configure();
+      case Fault.Configure f -> configure(f.timeoutMillis(), f.idleTimeoutMillis());
+      case Fault.WriteForeignEntry f -> {
+        String name = "a-foreign-" + foreignEntries.incrementAndGet();
+        store.putRaw(StoreFormat.REPLICAS, name, f.entry());
+        Faults.sleep(f.millis());
+        store.remove(StoreFormat.REPLICAS, name);
+      }
+      case Fault.Leave f -> {
+        leaving.add(replicas.get(f.replica()));
+        Faults.sleep(f.millis());
+        leaving.remove(replicas.get(f.replica()));
+      }
+      case Fault.FallSilent f -> replicas.get(f.replica()).fallSilent(f.millis());
       case Fault.WithholdOrders f ->
           replicas.get(f.engine()).setOrderBehaviour(f.behaviour(), f.millis());
       case Fault.Restart f -> instances.get(f.instance()).restart(f.signal(), f.downMillis());
@@ -259,10 +289,13 @@
     return true;
   }
 
-  private synchronized void configure() {
+  private synchronized void configure(long timeoutMillis, long idleTimeoutMillis) {
     try {
+      observer.configurationStored(timeoutMillis, idleTimeoutMillis);
       store.put(
-          StoreFormat.CONFIGURATIONS, "main", CallerFake.configuration(++configuration, keys));
+          StoreFormat.CONFIGURATIONS,
+          "main",
+          CallerFake.configuration(++configuration, keys, timeoutMillis, idleTimeoutMillis));
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
--- a/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Map;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.gateway.CallerFake.Answer;
 import org.bulrushpier.rig.gateway.CallerFake.Call;
 import org.bulrushpier.rig.gateway.CallerFake.Route;
@@ -18,7 +19,7 @@
 
   private Call begin(Route route) {
     Call call = new Call("c1", route, "key-ate", 1, 2, 6_000);
-    observer.callBegins(call, "ate", instance, new Instance.Run(1));
+    observer.callBegins(call, "ate", instance, new Instance.Run(1), MonotonicClock.millis());
     return call;
   }
 
@@ -114,6 +115,31 @@
     assertThat(observer.violations().get(Promise.CUT_OFF.name())).hasSize(1);
   }
 
+  @Test
+  void failureOfExecutedCallIsFoundUnlessReplicaWasFaulty() {
+    Call call = begin(Route.SAFE);
+    observer.callEnds(call, answer(502, ""));
+    assertThat(observer.violations()).isEmpty();
+    execute("ate");
+    observer.callEnds(call, answer(502, ""));
+    assertViolated(Promise.UNANSWERED);
+
+    observer.replicaFaulty("r1", 0);
+    observer.callEnds(call, answer(502, ""));
+    assertThat(observer.violations().get(Promise.UNANSWERED.name())).hasSize(1);
+  }
+
+  @Test
+  void connectionIsReusedForFourFifthsOfLowestLimitThatMayBeInForce() {
+    observer.configurationStored(20_000, 15_000);
+    observer.configurationStored(20_000, 2_000);
+    observer.configurationStored(20_000, 5_000);
+
+    Instance.Run run = new Instance.Run(1);
+    assertThat(observer.longestPauseMillis(instance, run, MonotonicClock.millis()))
+        .isEqualTo(1_600);
+  }
+
   @Test
   void sameSeedDrawsSameFaults() {
     Schedule schedule = Schedule.draw(7, 60_000, 4, 8, 10);
