--- a/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
@@ -88,6 +88,18 @@
     commit(kind + "/" + name, json.getNodeFactory().rawValueNode(new RawValue(spec)));
   }
 
+  /**
+   * Writes the registry entry of a replica that is ready, as {@link #register(ReplicaFake, String,
+   * String)} does.
+   *
+   * @param replica the replica
+   * @param service the name of its service
+   * @throws IOException if the entry is not valid JSON
+   */
+  public void register(ReplicaFake replica, String service) throws IOException {
+    register(replica, service, "ready");
+  }
+
   /**
    * Writes a replica's registry entry unless it is already stored or the store is down.
    *
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -10,10 +10,12 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.WeakHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.bulrushpier.Address;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.Faults;
@@ -80,6 +82,16 @@
    */
   public record Pace(long startMillis, long eventMillis, long changeMillis) {}
 
+  /**
+   * A silence of the replica in each request that it executes, after which the request goes on. A
+   * request whose connection is closed meanwhile is dropped. Immutable and thread-safe.
+   *
+   * @param afterEvent the event of a stream after which the replica falls silent, or 0 before the
+   *     response begins
+   * @param millis the duration, in milliseconds
+   */
+  public record Silence(int afterEvent, long millis) {}
+
   /** The number of events in a complete stream of a request that does not state its output. */
   public static final int EVENTS = 5;
 
@@ -100,8 +112,12 @@
   private final CountDownLatch released = new CountDownLatch(1);
   private final AtomicLong endlessBytes = new AtomicLong();
   private Behaviour behaviour = Behaviour.ANSWER;
+  private Function<Execution, Optional<RawResponse>> script = execution -> Optional.empty();
   private Pace pace = new Pace(0, 0, 0);
   private long silentUntilMillis = Long.MIN_VALUE / 2;
+  private Silence silence = new Silence(0, 0);
+  private int refused;
+  private int dropped;
   private OrderBehaviour orderBehaviour = OrderBehaviour.PROMPT;
   private long ordersDelayedUntilMillis;
   private boolean isChanging;
@@ -136,6 +152,14 @@
     }
   }
 
+  /**
+   * The bytes that a replica sends for an executed request in place of its usual response.
+   *
+   * @param text the bytes
+   * @param isLast whether the replica closes the connection after them
+   */
+  public record RawResponse(String text, boolean isLast) {}
+
   private ReplicaFake(String id, int slots, Consumer<Execution> listener) throws IOException {
     this.id = id;
     this.slots = slots;
@@ -204,6 +228,15 @@
     behaviour = next;
   }
 
+  /**
+   * Changes what is sent for subsequent requests that are executed.
+   *
+   * @param next returns the bytes to send for a request, or empty for the usual response
+   */
+  public synchronized void setScript(Function<Execution, Optional<RawResponse>> next) {
+    script = next;
+  }
+
   /**
    * Changes the duration of subsequent work.
    *
@@ -230,6 +263,33 @@
     return Math.max(0, silentUntilMillis - MonotonicClock.millis());
   }
 
+  /**
+   * Changes when subsequent requests are met with silence.
+   *
+   * @param next the silence
+   */
+  public synchronized void setSilence(Silence next) {
+    silence = next;
+  }
+
+  /**
+   * Returns the number of requests that were refused.
+   *
+   * @return the number of requests
+   */
+  public synchronized int refused() {
+    return refused;
+  }
+
+  /**
+   * Returns the number of requests whose connection was closed while the replica was silent.
+   *
+   * @return the number of requests
+   */
+  public synchronized int dropped() {
+    return dropped;
+  }
+
   /**
    * Changes how orders are handled.
    *
@@ -405,6 +465,7 @@
     boolean isMisdirected;
     boolean isRefused;
     String repeated;
+    Optional<RawResponse> raw = Optional.empty();
     synchronized (this) {
       current = behaviour;
       String expectedVersion = request.header("expect-version");
@@ -422,14 +483,18 @@
         execution = new Execution(id, version, request.target(), request.headers(), request.body());
         executions.add(execution);
         listener.accept(execution);
+        raw = script.apply(execution);
+      } else if (!isMisdirected) {
+        refused++;
       }
     }
+    String idHeader = "Attempt-Id: " + request.header("attempt-id") + "\r\n";
     if (isMisdirected) {
       return sendAll(
-          socket, "HTTP/1.1 421 X\r\nInstance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+          socket,
+          "HTTP/1.1 421 X\r\n" + idHeader + "Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
     }
-    String attemptHeaders =
-        "Attempt-Id: " + request.header("attempt-id") + "\r\nServer-Seal: " + id + "\r\n";
+    String attemptHeaders = idHeader + "Server-Seal: " + id + "\r\n";
     if (execution != null) {
       attemptHeaders += weightsHeader(execution);
       if (repeated != null) {
@@ -437,10 +502,17 @@
       }
       Faults.sleep(startMillis());
       awaitEndOfSilence();
+      if (!keepSilence(0, socket)) {
+        return false;
+      }
     }
     if (isRefused) {
       return sendAll(socket, refusal(request, current));
     }
+    if (raw.isPresent()) {
+      RawHttpServer.send(socket, raw.get().text());
+      return !raw.get().isLast();
+    }
     return switch (current) {
       case LOSE_ANSWER -> false;
       case FAIL ->
@@ -480,12 +552,34 @@
 
   private static String refusal(RawHttpServer.Request request, Behaviour behaviour) {
     String id =
-        behaviour == Behaviour.REPEAT_REFUSAL
-            ? "Attempt-Id: " + request.header("attempt-id") + "\r\n"
-            : "";
+        behaviour == Behaviour.REPEAT_REFUSAL_WITHOUT_ID
+            ? ""
+            : "Attempt-Id: " + request.header("attempt-id") + "\r\n";
     return "HTTP/1.1 503 X\r\n" + id + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
   }
 
+  /** Returns false if the peer closed the connection during the silence. */
+  private boolean keepSilence(int event, Socket socket) throws IOException {
+    Silence current;
+    synchronized (this) {
+      current = silence;
+    }
+    if (event != current.afterEvent() || current.millis() <= 0) {
+      return true;
+    }
+    long end = MonotonicClock.millis() + current.millis();
+    while (MonotonicClock.millis() < end) {
+      if (RawHttpServer.isClosedByPeer(socket)) {
+        synchronized (this) {
+          dropped++;
+        }
+        return false;
+      }
+      Faults.sleep(POLL_MILLIS);
+    }
+    return true;
+  }
+
   private static String weightsHeader(Execution execution) {
     return execution.isGeneration() ? "Weight-Versions: " + execution.version() + "\r\n" : "";
   }
@@ -545,6 +639,9 @@
       }
       awaitEndOfSilence();
       sendChunk(socket, "id: " + event + "\ndata: " + event + "\n\n");
+      if (!keepSilence(event, socket)) {
+        return false;
+      }
       if (current == Behaviour.HOLD_STREAM && event == firstEvent) {
         awaitRelease();
       }
