--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -123,6 +123,7 @@
   private boolean isChanging;
   private int running;
   private int version = 1;
+  private long bornMillis = 1_700_000_000_000L;
 
   /**
    * An executed request.
@@ -339,9 +340,14 @@
    */
   public synchronized String entry(String service, String state) {
     return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"norte\",\"version\":\"v1\","
-            + "\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":1700000000000,"
+            + "\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":%d,"
             + "\"models\":[{\"name\":\"m0\",\"version\":%d,\"adapters\":[]}]}")
-        .formatted(service, address(), state, version);
+        .formatted(service, address(), state, bornMillis, version);
+  }
+
+  /** Registers as another incarnation from now on, as a replica that left does when it returns. */
+  public synchronized void beginIncarnation() {
+    bornMillis++;
   }
 
   private boolean handle(RawHttpServer.Request request, Socket socket) throws IOException {
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -230,9 +230,12 @@
         store.remove(StoreFormat.REPLICAS, name);
       }
       case Fault.Leave f -> {
-        leaving.add(replicas.get(f.replica()));
+        if (!leaving.add(replicas.get(f.replica()))) {
+          return;
+        }
         Faults.sleep(f.millis());
         leaving.remove(replicas.get(f.replica()));
+        replicas.get(f.replica()).beginIncarnation();
       }
       case Fault.FallSilent f -> replicas.get(f.replica()).fallSilent(f.millis());
       case Fault.WithholdOrders f ->
