--- a/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
@@ -88,18 +88,34 @@
     commit(kind + "/" + name, json.getNodeFactory().rawValueNode(new RawValue(spec)));
   }
 
+  /**
+   * Writes the registry entry of a replica that is ready, as {@link #register(ReplicaFake, String,
+   * String)} does.
+   *
+   * @param replica the replica
+   * @param service the name of its service
+   * @throws IOException if the entry is not valid JSON
+   */
+  public void register(ReplicaFake replica, String service) throws IOException {
+    register(replica, service, "ready");
+  }
+
   /**
    * Writes a replica's registry entry unless it is already stored or the store is down.
    *
    * @param replica the replica
    * @param service the name of its service
+   * @param state {@code ready} or {@code draining}
+   * @return true, or false if the store is down
    * @throws IOException if the entry is not valid JSON
    */
-  public synchronized void register(ReplicaFake replica, String service) throws IOException {
-    String entry = replica.entry(service, "ready");
+  public synchronized boolean register(ReplicaFake replica, String service, String state)
+      throws IOException {
+    String entry = replica.entry(service, state);
     if (!isDown && !json.readTree(entry).equals(content(StoreFormat.REPLICAS, replica.id()))) {
       put(StoreFormat.REPLICAS, replica.id(), entry);
     }
+    return !isDown;
   }
 
   /**
