--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.WeakHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -41,6 +42,12 @@
     FAIL,
     /** Closes the connection within the third event of a stream that was not resumed. */
     CUT_STREAM,
+    /** Like {@link #CUT_STREAM}, and answers 500 with the replica's seal to resumed streams. */
+    CUT_STREAM_FAIL_RESUMED,
+    /** Refuses each other request of a connection, and sends the refusal again with the next. */
+    REPEAT_REFUSAL,
+    /** Like {@link #REPEAT_REFUSAL}, without the id of the refused request. */
+    REPEAT_REFUSAL_WITHOUT_ID,
     /** Executes the request and never responds; closes the connection on release. */
     SILENT,
     /** Pauses the stream after its first event until the replica is released. */
@@ -100,11 +107,13 @@
   private final Deque<Object> waiting = new ArrayDeque<>();
   private final List<Execution> executions = new ArrayList<>();
   private final List<String> orders = new ArrayList<>();
+  private final Map<Socket, String> refusals = new WeakHashMap<>();
   private final CountDownLatch released = new CountDownLatch(1);
   private final AtomicLong endlessBytes = new AtomicLong();
   private Behaviour behaviour = Behaviour.ANSWER;
   private Script script = (execution, isFirst) -> Optional.empty();
   private Pace pace = new Pace(0, 0, 0);
+  private long silentUntilMillis = Long.MIN_VALUE / 2;
   private Silence silence = new Silence(0, 0);
   private int refused;
   private int dropped;
@@ -113,6 +122,7 @@
   private boolean isChanging;
   private int running;
   private int version = 1;
+  private long bornMillis = 1_700_000_000_000L;
 
   /**
    * An executed request.
@@ -249,6 +259,23 @@
     pace = next;
   }
 
+  /**
+   * Holds back all further bytes of responses to calls, also of those that are running.
+   *
+   * @param millis how long, in milliseconds
+   */
+  public synchronized void fallSilent(long millis) {
+    silentUntilMillis = Math.max(silentUntilMillis, MonotonicClock.millis() + millis);
+  }
+
+  private void awaitEndOfSilence() {
+    Faults.sleep(silenceLeftMillis());
+  }
+
+  private synchronized long silenceLeftMillis() {
+    return Math.max(0, silentUntilMillis - MonotonicClock.millis());
+  }
+
   /**
    * Changes when subsequent requests are met with silence.
    *
@@ -325,9 +352,14 @@
    */
   public synchronized String entry(String service, String state) {
     return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"norte\",\"version\":\"v1\","
-            + "\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":1700000000000,"
+            + "\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":%d,"
             + "\"models\":[{\"name\":\"m0\",\"version\":%d,\"adapters\":[]}]}")
-        .formatted(service, address(), state, version);
+        .formatted(service, address(), state, bornMillis, version);
+  }
+
+  /** Registers as another incarnation from now on, as a replica that left does when it returns. */
+  public synchronized void beginIncarnation() {
+    bornMillis++;
   }
 
   private boolean handle(RawHttpServer.Request request, Socket socket) throws IOException {
@@ -449,6 +481,8 @@
     Behaviour current;
     Execution execution = null;
     boolean isMisdirected;
+    boolean isRefused;
+    String repeated;
     Optional<RawResponse> raw = Optional.empty();
     synchronized (this) {
       current = behaviour;
@@ -456,7 +490,14 @@
       isMisdirected =
           !request.header("expect-instance").equals(id)
               || !(expectedVersion.isEmpty() || expectedVersion.equals("" + version));
-      if (!isMisdirected && current != Behaviour.REFUSE) {
+      boolean repeats =
+          current == Behaviour.REPEAT_REFUSAL || current == Behaviour.REPEAT_REFUSAL_WITHOUT_ID;
+      repeated = repeats && !isMisdirected ? refusals.remove(socket) : null;
+      isRefused = current == Behaviour.REFUSE || (repeats && repeated == null);
+      if (repeats && isRefused && !isMisdirected) {
+        refusals.put(socket, refusal(request, current));
+      }
+      if (!isMisdirected && !isRefused) {
         execution = new Execution(id, version, request.target(), request.headers(), request.body());
         executions.add(execution);
         listener.accept(execution);
@@ -474,20 +515,23 @@
     String attemptHeaders = idHeader + "Server-Seal: " + id + "\r\n";
     if (execution != null) {
       attemptHeaders += weightsHeader(execution);
+      if (repeated != null) {
+        RawHttpServer.send(socket, repeated);
+      }
       Faults.sleep(startMillis());
+      awaitEndOfSilence();
       if (!keepSilence(0, socket)) {
         return false;
       }
     }
+    if (isRefused) {
+      return sendAll(socket, refusal(request, current));
+    }
     if (raw.isPresent()) {
       RawHttpServer.send(socket, raw.get().text());
       return !raw.get().isLast();
     }
     return switch (current) {
-      case REFUSE ->
-          sendAll(
-              socket,
-              "HTTP/1.1 503 X\r\n" + idHeader + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
       case LOSE_ANSWER -> false;
       case FAIL ->
           sendAll(socket, "HTTP/1.1 500 X\r\n" + attemptHeaders + "Content-Length: 4\r\n\r\nfail");
@@ -499,11 +543,23 @@
               socket,
               "HTTP/1.1 200 X\r\n" + attemptHeaders + "Transfer-Encoding: chunked\r\n\r\n",
               "400\r\n" + "a".repeat(1_024) + "\r\n");
-      case SILENT, HOLD_STREAM, CUT_STREAM, ANSWER -> {
+      case SILENT,
+          HOLD_STREAM,
+          CUT_STREAM,
+          CUT_STREAM_FAIL_RESUMED,
+          REPEAT_REFUSAL,
+          REPEAT_REFUSAL_WITHOUT_ID,
+          REFUSE,
+          ANSWER -> {
         if (current == Behaviour.SILENT) {
           awaitRelease();
           yield false;
         }
+        if (current == Behaviour.CUT_STREAM_FAIL_RESUMED
+            && request.headers().containsKey("last-event-id")) {
+          yield sendAll(
+              socket, "HTTP/1.1 500 X\r\n" + attemptHeaders + "Content-Length: 4\r\n\r\nfail");
+        }
         yield request.headers().containsKey("model")
             ? stream(request, socket, attemptHeaders, current)
             : sendAll(
@@ -512,6 +568,14 @@
     };
   }
 
+  private static String refusal(RawHttpServer.Request request, Behaviour behaviour) {
+    String id =
+        behaviour == Behaviour.REPEAT_REFUSAL_WITHOUT_ID
+            ? ""
+            : "Attempt-Id: " + request.header("attempt-id") + "\r\n";
+    return "HTTP/1.1 503 X\r\n" + id + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  }
+
   /** Returns false if the peer closed the connection during the silence. */
   private boolean keepSilence(int event, Socket socket) throws IOException {
     Silence current;
@@ -582,13 +646,16 @@
             + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     int firstEvent = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0")) + 1;
     for (int event = firstEvent; event <= events(request); event++) {
-      if (current == Behaviour.CUT_STREAM && firstEvent == 1 && event == 3) {
+      boolean isCut =
+          current == Behaviour.CUT_STREAM || current == Behaviour.CUT_STREAM_FAIL_RESUMED;
+      if (isCut && firstEvent == 1 && event == 3) {
         sendChunk(socket, "id: " + event + "\nda");
         return false;
       }
       if (event > firstEvent) {
         Faults.sleep(eventMillis());
       }
+      awaitEndOfSilence();
       sendChunk(socket, "id: " + event + "\ndata: " + event + "\n\n");
       if (!keepSilence(event, socket)) {
         return false;
