A test that new prompts prefer other engines while one is silent

Guards what changed without a test: an engine whose stream pauses and that answers nothing else is avoided by new prompts for two seconds from the last moment at which its silence was seen.

Evidence: on a scratch copy without the call of avoidReplica the silent engine got 2 of the 5 new prompts; with it none, in 2 of 2 runs, the second within the whole class (17 of 17).

All prompts are now sent at once.

--- a/rig/src/test/java/org/bulrushpier/rig/SilentReplicaIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/SilentReplicaIntegrationTest.java
@@ -350,4 +350,33 @@
     await(() -> replicas.stream().allMatch(engine -> engine.dropped() == 1));
     assertThat(replicas).allMatch(engine -> engine.executions().size() == 1);
   }
+
+  @Test
+  void newPromptsPreferOtherEnginesWhileOneIsSilent() throws Exception {
+    ReplicaFake first = registerSilent("engines", new Silence(4, ENDLESS_MILLIS));
+    CompletableFuture<HttpResponse<String>> stream = send("/stream/a", first);
+    final ReplicaFake second = register("engines", "second", Behaviour.ANSWER);
+    assertWholeStream(stream);
+
+    List<CompletableFuture<HttpResponse<String>>> prompts = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      HttpRequest prompt =
+          HttpRequest.newBuilder(URI.create("http://" + settings.callerAddress() + "/stream/b"))
+              .timeout(Duration.ofSeconds(30))
+              .header("Deadline-Ms", "9000")
+              .header("Attempt-Id", "new" + i)
+              .header("Model", "m0")
+              .header("Token-Usage", "100," + EVENTS)
+              .header("Prefix-Hash", "c" + i + ":80,d" + i + ":20")
+              .POST(HttpRequest.BodyPublishers.ofString("body"))
+              .build();
+      prompts.add(client.sendAsync(prompt, HttpResponse.BodyHandlers.ofString()));
+    }
+    for (CompletableFuture<HttpResponse<String>> prompt : prompts) {
+      assertWholeStream(prompt);
+    }
+
+    assertThat(first.executions()).hasSize(1);
+    assertThat(second.executions()).hasSize(6);
+  }
 }
