A response that contradicts its own refusal is not believed

Callers of a route that may run once were told 503, "has not run", and their request was sent to a second replica, after a response that bears Not-Executed beside a status of an executed request, such as a sealed 200 or 500.

Cause: Not-Executed alone made a response a refusal, whatever its status.

Replicas refuse with 400, 408, 421, 429 or 503. With any other status the response contradicts itself: it is neither a refusal nor the upstream's own response, and the outcome counts as unknown. A route that may run once gets 502; other routes try another replica where they may.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -966,7 +966,7 @@
         handleRefusal();
       } else if (isForwardingEvents) {
         streamEnded();
-      } else if (!response.isSigned() || response.isEncoded()) {
+      } else if (!response.isOwnResponse()) {
         replica.breaker().failed(MonotonicClock.millis());
         mayHaveRun = true;
         responseLost("an answer that is not the upstream's, status " + response.status());
--- a/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
+++ b/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.call;
 
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The attributes of an upstream's response head that routing decisions depend on.
@@ -25,6 +26,10 @@
     Optional<ReportedLoad> load) {
 
   private static final int MISDIRECTED = 421;
+
+  /** Statuses with which an upstream may state that it did not execute the request. */
+  private static final Set<Integer> REFUSALS = Set.of(400, 408, MISDIRECTED, 429, 503);
+
   private static final int OK = 200;
   private static final int MIN_SUCCESS = 200;
   private static final int MIN_REDIRECT = 300;
@@ -54,10 +59,10 @@
   /**
    * Checks whether the request certainly was not executed.
    *
-   * @return true if the upstream says so
+   * @return true if the upstream says so with a status that does not contradict it
    */
   public boolean isRefusal() {
-    return isNotRun || status == MISDIRECTED;
+    return status == MISDIRECTED || (isNotRun && REFUSALS.contains(status));
   }
 
   /** Returns true if the address now belongs to another instance than the expected one. */
@@ -68,10 +73,21 @@
   /**
    * Checks whether the request succeeded, provided that the complete body follows.
    *
-   * @return true for a signed 2xx status without a content coding
+   * @return true for a signed 2xx status without a content coding that does not state that the
+   *     request was not executed
    */
   public boolean isSuccess() {
-    return status >= MIN_SUCCESS && status < MIN_REDIRECT && isSigned && !isEncoded;
+    return status >= MIN_SUCCESS && status < MIN_REDIRECT && isOwnResponse();
+  }
+
+  /**
+   * Checks whether this is the response of the upstream itself to a request that it executed.
+   *
+   * @return true if it is signed, has no content coding and does not state that the request was not
+   *     executed
+   */
+  public boolean isOwnResponse() {
+    return isSigned && !isEncoded && !isNotRun;
   }
 
   /**
--- a/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
@@ -223,6 +223,22 @@
     assertThat(sendOnce().statusCode()).isEqualTo(200);
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {200, 201, 302, 404, 500, 504})
+  void responseThatContradictsItsRefusalIsNeitherForwardedNorSentAgain(int status)
+      throws Exception {
+    script(
+        calls,
+        execution ->
+            new RawResponse(
+                sealed(execution, status) + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false));
+
+    HttpResponse<String> response = sendOnce();
+
+    assertThat(response.statusCode()).isEqualTo(502);
+    assertThat(executed(calls)).isEqualTo(1);
+  }
+
   /** A response that cannot continue a stream. */
   private enum NoContinuation {
     ERROR,
