A call that may run once gets no promise that its replica does not state

A replica answered 503, 429 or 408 with its seal and without Not-Executed after it had run a request. The status reached the caller, for whom it promises that the request has not run and may be sent again.

Cause: a sealed response was forwarded with its status, whatever that promises to the caller.

Only Not-Executed, or 421, states that a request has not run. Without it, a request that may run once gets 502 from the gateway itself, without a seal. A request that may be repeated still gets the status that its replica gave.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -966,7 +966,8 @@
         handleRefusal();
       } else if (isForwardingEvents) {
         streamEnded();
-      } else if (!response.isOwnResponse()) {
+      } else if (!response.isOwnResponse()
+          || (response.isUnfoundedPromise() && !route.isRepeatable())) {
         replica.breaker().failed(MonotonicClock.millis());
         mayHaveRun = true;
         responseLost("an answer that is not the upstream's, status " + response.status());
--- a/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
+++ b/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
@@ -30,6 +30,9 @@
   /** Statuses with which an upstream may state that it did not execute the request. */
   private static final Set<Integer> REFUSALS = Set.of(400, 408, MISDIRECTED, 429, 503);
 
+  /** Statuses that promise a caller that its request was not executed and never will be. */
+  private static final Set<Integer> PROMISES = Set.of(408, MISDIRECTED, 429, 503);
+
   private static final int OK = 200;
   private static final int MIN_SUCCESS = 200;
   private static final int MIN_REDIRECT = 300;
@@ -65,6 +68,16 @@
     return status == MISDIRECTED || (isNotRun && REFUSALS.contains(status));
   }
 
+  /**
+   * Checks whether the status promises a caller that the request was not executed, although the
+   * upstream does not state that.
+   *
+   * @return true if the response must not reach the caller of a request that may be run only once
+   */
+  public boolean isUnfoundedPromise() {
+    return !isRefusal() && PROMISES.contains(status);
+  }
+
   /** Returns true if the address now belongs to another instance than the expected one. */
   public boolean isMisdirected() {
     return status == MISDIRECTED;
--- a/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
@@ -223,6 +223,18 @@
     assertThat(sendOnce().statusCode()).isEqualTo(200);
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {408, 429, 503})
+  void callThatMayRunOnceGetsNoPromiseThatItsReplicaDoesNotState(int status) throws Exception {
+    script(calls, execution -> new RawResponse(sealed(execution, status, "busy"), false));
+
+    HttpResponse<String> response = sendOnce();
+
+    assertThat(response.statusCode()).isEqualTo(502);
+    assertThat(response.headers().firstValue("Server-Seal")).isEmpty();
+    assertThat(executed(calls)).isEqualTo(1);
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {200, 201, 302, 404, 500, 504})
   void responseThatContradictsItsRefusalIsNeitherForwardedNorSentAgain(int status)
@@ -239,6 +251,17 @@
     assertThat(executed(calls)).isEqualTo(1);
   }
 
+  @Test
+  void repeatableCallGetsTheStatusThatItsReplicasGave() throws Exception {
+    script(calls, execution -> new RawResponse(sealed(execution, 503, "busy"), false));
+
+    HttpResponse<String> response = send(request("/safe/a"));
+
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(response.headers().firstValue("Server-Seal")).isPresent();
+    assertThat(executed(calls)).isEqualTo(2);
+  }
+
   /** A response that cannot continue a stream. */
   private enum NoContinuation {
     ERROR,
