Changes made while the pages of a list are read are not missed

In a list of more than one page, a change on an earlier page that was made before the last page was read stayed unknown until the object changed again: a replica that had announced that it leaves went on getting requests.

Cause: the watch continued from the revision of the last page. Besides, a page whose last object had no readable name was continued after an empty name, which read the first page again, without a pause and without end.

Change: the watch continues from the revision of the first page. A list continues after the last name that can be read, and one that does not continue is a failure with its back-off.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -98,6 +98,12 @@
 
   private long revision = UNKNOWN_REVISION;
 
+  /**
+   * The store's revision at the first page of the list that is being read. A change made after that
+   * may be missing from the list.
+   */
+  private long listRevision;
+
   private long backoffMillis = MIN_BACKOFF_MILLIS;
   private boolean isProbing = true;
 
@@ -139,7 +145,7 @@
         StoreFormat.list(kind, after),
         new byte[0],
         PROBE_TIMEOUT_MILLIS + RESPONSE_MARGIN_MILLIS,
-        outcome -> received(() -> pageReceived(outcome)));
+        outcome -> received(() -> pageReceived(after, outcome)));
   }
 
   /**
@@ -166,22 +172,38 @@
     Runnable handle() throws IOException;
   }
 
-  private Runnable pageReceived(ControlClient.Outcome outcome) throws IOException {
+  private Runnable pageReceived(String after, ControlClient.Outcome outcome) throws IOException {
     if (!outcome.isOk()) {
       return failed(outcome);
     }
     StoreFormat.Page page = StoreFormat.page(outcome.body());
+    if (after.isEmpty()) {
+      listRevision = page.revision();
+    }
     values.addAll(page.values());
-    if (page.hasMore() && !page.values().isEmpty()) {
-      return () -> list(page.values().getLast().name());
+    if (page.hasMore()) {
+      String last = lastName(page);
+      if (last.isEmpty() || last.equals(after)) {
+        throw new IOException("the list does not continue after '" + after + "'");
+      }
+      return () -> list(last);
     }
-    revision = page.revision();
+    revision = listRevision;
     succeeded();
     listener.listed(List.copyOf(values), listSentAt, currentAt);
     currentAt = listSentAt;
     return this::next;
   }
 
+  private static String lastName(StoreFormat.Page page) {
+    for (StoreObject value : page.values().reversed()) {
+      if (!value.name().isEmpty()) {
+        return value.name();
+      }
+    }
+    return "";
+  }
+
   private void watch() {
     long wait = isProbing ? 0 : timing.waitMillis();
     long limit = isProbing ? PROBE_TIMEOUT_MILLIS : timing.waitMillis() + RESPONSE_MARGIN_MILLIS;
--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
@@ -31,6 +31,7 @@
   private static final String B = object("b");
 
   private final EventLoop loop = EventLoop.start();
+  private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> responses = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> deliveries = new LinkedBlockingQueue<>();
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
@@ -80,6 +81,7 @@
     store.createContext(
         "/",
         exchange -> {
+          requests.add(exchange.getRequestURI().getRawQuery() + "");
           byte[] body = nextResponse().getBytes(StandardCharsets.UTF_8);
           exchange.sendResponseHeaders(200, body.length);
           exchange.getResponseBody().write(body);
@@ -186,6 +188,37 @@
     expect("listed[a]", "failed", "listed[a, b]", "changed[a]");
   }
 
+  @Test
+  void changeOfAnEarlierPageMadeWhileTheListIsReadIsNotMissed() throws InterruptedException {
+    responses.addAll(List.of(page(3, true, A), page(7, false, B), change(9, A)));
+    startWatch(null);
+
+    expect("listed[a, b]", "changed[a]");
+    assertThat(next(requests)).isEqualTo("null");
+    assertThat(next(requests)).isEqualTo("after=a");
+    assertThat(next(requests)).startsWith("watch=3&");
+    assertThat(next(requests)).startsWith("watch=9&");
+  }
+
+  @Test
+  void listContinuesAfterTheLastNameThatCanBeRead() throws InterruptedException {
+    responses.addAll(List.of(page(3, true, A, "{}", "7"), page(3, false, B)));
+    startWatch(null);
+
+    expect("listed[a, , , b]");
+    assertThat(next(requests)).isEqualTo("null");
+    assertThat(next(requests)).isEqualTo("after=a");
+  }
+
+  @Test
+  void listThatDoesNotContinueIsReadAgainOnlyAfterPause() throws InterruptedException {
+    responses.addAll(List.of(page(3, true, A), page(3, true, "{}"), page(3, true, A)));
+    responses.addAll(List.of(page(3, true, A), page(3, false, A, B)));
+    startWatch(null);
+
+    expect("failed", "failed", "listed[a, b]");
+  }
+
   private static Moment at(long millis) {
     return new Moment(millis, millis);
   }
