A silent engine is no reason to refuse a request that it may serve

What callers saw: 503 "predicted first token after 2010 ms" while the only engine paused for 1.5 s, for a request with 1.8 s left that the engine would have answered. Cause: the cost of an engine that was silent or refused a connection was part of the predicted time to the first token, by which requests are refused, weights excluded and the next silence judged. Change: it decides between engines only. Evidence: the test failed before (Refuse).

--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -68,7 +68,8 @@
   private static final double FAILURE_COST_MILLIS = 3_000;
 
   /**
-   * The cost of an engine that recently refused a connection or did not answer, in milliseconds.
+   * The cost of an engine that recently refused a connection or was silent, in milliseconds. It
+   * decides between engines and is no part of the prediction, as the engine may go on at any time.
    */
   private static final double UNREACHABLE_COST_MILLIS = 2_000;
 
@@ -173,7 +174,11 @@
       if (!weights.allows(version, millis)) {
         continue;
       }
-      double cost = millis + cacheCost(engine, plan, home) + weights.penaltyMillis(version);
+      double cost =
+          millis
+              + (engine.isUnreachable(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
+              + cacheCost(engine, plan, home)
+              + weights.penaltyMillis(version);
       if (best == null || cost < best.cost) {
         best = new Candidate(engine, plan, wait, millis, cost);
       }
@@ -289,9 +294,7 @@
   /** Returns the cost of an engine that may not answer, in milliseconds. */
   private static double faultCost(Replica engine, long nowMillis) {
     double failures = Math.max(0, engine.failureShare(nowMillis) - TOLERATED_FAILURE_SHARE);
-    return engine.overdueRequests(nowMillis) * OVERDUE_COST_MILLIS
-        + failures * FAILURE_COST_MILLIS
-        + (engine.isUnreachable(nowMillis) ? UNREACHABLE_COST_MILLIS : 0);
+    return engine.overdueRequests(nowMillis) * OVERDUE_COST_MILLIS + failures * FAILURE_COST_MILLIS;
   }
 
   /**
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -88,6 +88,15 @@
     assertThat(chosen(prompt, ANY_VERSION)).isEqualTo("e4");
   }
 
+  @Test
+  void requestIsNotRefusedBecauseTheOnlyEngineIsSilent() {
+    engines.subList(1, engines.size()).clear();
+    engines.get(0).markUnreachable(NOW);
+
+    assertThat(choose(prompt("s", 1_000), ANY_VERSION, Set.of(), 1_500))
+        .isInstanceOf(Placement.Send.class);
+  }
+
   @Test
   void instancesAgreeOnTheHomeEngineOfNewSession() {
     String first = chosen(prompt("another", 8_000), ANY_VERSION);
