Engines beside or after an attempt are looked for only if the retry budget allows it, ten times a second

The budget is now asked before the choice, without being charged, and both look at the same interval.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -75,8 +75,8 @@
   /** Time without events after which a resumable stream is sent to another upstream too, in ms. */
   private static final long STREAM_IDLE_TIMEOUT_MILLIS = 1_200;
 
-  /** Interval at which another upstream is looked for while all attempts are silent, in ms. */
-  private static final long SILENCE_RETRY_MILLIS = 100;
+  /** Interval at which an upstream is looked for beside or after an attempt, in milliseconds. */
+  private static final long PLACEMENT_RETRY_MILLIS = 100;
 
   private final GatewayContext context;
   private final CallerConnection caller;
@@ -91,7 +91,7 @@
   private long deadlineMillis;
   private final AttemptRace<Attempt> race = new AttemptRace<>();
   private Attempt failedAnswer;
-  private long nextSilenceRetryMillis;
+  private long nextPlacementMillis;
   private boolean isInterrupted;
   private Placement.Wait wait;
   private int attempts;
@@ -393,7 +393,10 @@
     if (nowMillis >= deadlineMillis) {
       timedOut();
     } else if (isInterrupted) {
-      tryPlace();
+      if (nowMillis >= nextPlacementMillis) {
+        nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS;
+        tryPlace();
+      }
     } else {
       race.running().stream().filter(Attempt::isExpired).forEach(Attempt::recall);
       if (!race.isEmpty() && route.isRepeatable() && !context.stalls().isRecovering(nowMillis)) {
@@ -410,10 +413,12 @@
     }
     silent.forEach(attempt -> attempt.avoidReplica(nowMillis));
     long unsent = silent.stream().filter(attempt -> !attempt.outbound.isSent()).count();
-    if (nowMillis < nextSilenceRetryMillis || !mayRetry(attempts + unsent)) {
+    if (nowMillis < nextPlacementMillis
+        || !mayRetry(attempts + unsent)
+        || !context.retryBudget(service).mayRetry(nowMillis)) {
       return;
     }
-    nextSilenceRetryMillis = nowMillis + SILENCE_RETRY_MILLIS;
+    nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS;
     Set<String> excluded = new HashSet<>(triedReplicas);
     silent.forEach(attempt -> excluded.add(attempt.replica.entry().id()));
     long remaining = remainingMillis();
--- a/library/src/main/java/org/bulrushpier/limit/SlidingWindowRetryBudget.java
+++ b/library/src/main/java/org/bulrushpier/limit/SlidingWindowRetryBudget.java
@@ -86,14 +86,24 @@
    * @return true if the request may be retried once
    */
   public boolean tryRetry(long nowMillis) {
-    prune(nowMillis);
-    if (retries.size() + 1 > ratio * firstAttempts.size() + minimum) {
+    if (!mayRetry(nowMillis)) {
       return false;
     }
     retries.add(nowMillis);
     return true;
   }
 
+  /**
+   * Checks whether the budget allows a retry, without consuming it.
+   *
+   * @param nowMillis the monotonic time
+   * @return true if a request may be retried once
+   */
+  public boolean mayRetry(long nowMillis) {
+    prune(nowMillis);
+    return retries.size() + 1 <= ratio * firstAttempts.size() + minimum;
+  }
+
   private void prune(long nowMillis) {
     prune(firstAttempts, nowMillis);
     prune(retries, nowMillis);
