An entry that cannot be used names no replica, also where it replaced a usable one

What callers saw: nothing reported. An entry whose numbers did not fit their type was taken at the value that was left of them (slots as 6). An entry with a start time in the far future made the replica's own later entries stale. A replica whose entry other software had overwritten stayed in use, also when it had announced in between that it leaves. An entry without a start time stayed in use if it was read before the others.

Cause: numbers were narrowed without a check, ids were not checked although they are sent in a header field, and an unreadable entry was only logged.

The integration test has not run on the old code.

An unusable entry is handled as a removed one, with the same grace period after an outage of the store; the replica is used again when it has renewed its entry, which it does at its next heartbeat. When the first entry with a start time is read, those without one are dropped. At most 20 unusable entries of a response are logged one by one, then their number.

UnreadableObjectsIntegrationTest with the new test has not run yet.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
@@ -10,6 +10,7 @@
 import org.bulrushpier.adapter.StoreFormat.ReadableObject;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.adapter.StoreFormat.UnreadableObject;
+import org.bulrushpier.replica.ReplicaEntry;
 import org.bulrushpier.replica.ReplicaTable.Change;
 
 /**
@@ -19,8 +20,14 @@
  */
 final class ReplicaWatcher implements StoreWatch.Listener {
 
+  /** The most unusable entries of one response that are logged one by one. */
+  private static final int MAX_LOGGED_ENTRIES = 20;
+
   private final GatewayContext context;
 
+  /** The number of unusable entries in the current response. */
+  private int unusableEntries;
+
   ReplicaWatcher(GatewayContext context) {
     this.context = context;
   }
@@ -32,8 +39,9 @@
     Set<String> ids = new HashSet<>();
     for (StoreObject value : values) {
       ids.add(value.name());
-      put(value);
+      put(value, now);
     }
+    logUnusable();
     context
         .replicas()
         .retain(ids, now)
@@ -49,27 +57,53 @@
         Change change = context.replicas().remove(event.value().name(), now);
         context.logChange("replica-" + change.name(), event.value().name(), "removed");
       } else {
-        put(event.value());
+        put(event.value(), now);
       }
     }
+    logUnusable();
   }
 
-  private void put(StoreObject value) {
-    switch (value) {
-      case ReadableObject readable -> put(readable);
-      case UnreadableObject unreadable ->
-          context.logChange("replica-unreadable", unreadable.name(), unreadable.defect());
+  private void logUnusable() {
+    if (unusableEntries > MAX_LOGGED_ENTRIES) {
+      context.log().event("replicas-unreadable", "entries", unusableEntries);
     }
+    unusableEntries = 0;
   }
 
-  private void put(ReadableObject value) {
-    try {
-      Change change = context.replicas().put(SiteFormat.replica(value.name(), value.content()));
-      if (change != Change.NONE) {
-        context.logChange("replica-" + change.name(), value.name(), "revision " + value.revision());
+  private void put(StoreObject value, long nowMillis) {
+    switch (value) {
+      case ReadableObject readable -> {
+        try {
+          put(readable, SiteFormat.replica(readable.name(), readable.content()), nowMillis);
+        } catch (IllegalArgumentException e) {
+          unusable(readable, e.getMessage(), nowMillis);
+        }
       }
-    } catch (IllegalArgumentException e) {
-      context.logChange("replica-unreadable", value.name(), e.getMessage());
+      case UnreadableObject unreadable -> unusable(unreadable, unreadable.defect(), nowMillis);
+    }
+  }
+
+  private void put(ReadableObject value, ReplicaEntry entry, long nowMillis) {
+    Change change = context.replicas().put(entry);
+    if (change == Change.FOREIGN) {
+      unusable(value, "born: missing", nowMillis);
+    } else if (change != Change.NONE) {
+      context.logChange("replica-" + change.name(), value.name(), "revision " + value.revision());
+    }
+  }
+
+  /**
+   * Handles an entry that names no replica to use. A replica whose entry it has replaced is used
+   * again once it has renewed its entry.
+   */
+  private void unusable(StoreObject value, String reason, long nowMillis) {
+    unusableEntries++;
+    if (unusableEntries <= MAX_LOGGED_ENTRIES) {
+      context.logChange("replica-unreadable", value.name(), reason);
+    }
+    Change change = context.replicas().remove(value.name(), nowMillis);
+    if (change != Change.NONE) {
+      context.logChange("replica-" + change.name(), value.name(), "unreadable entry");
     }
   }
 
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
@@ -61,9 +61,10 @@
    * @return the effect on the table
    */
   public Change put(ReplicaEntry entry) {
-    if (entry.startMillis() > 0) {
+    if (entry.startMillis() > 0 && !hasStartTimes) {
       hasStartTimes = true;
-    } else if (hasStartTimes) {
+      removeWithoutStartTime();
+    } else if (entry.startMillis() == 0 && hasStartTimes) {
       return Change.FOREIGN;
     }
     Replica known = replicas.get(entry.id());
@@ -93,6 +94,15 @@
         : Change.NONE;
   }
 
+  private void removeWithoutStartTime() {
+    for (Replica replica : List.copyOf(replicas.values())) {
+      if (replica.entry().startMillis() == 0) {
+        replica.markLeaving("entry without a start time");
+        replicas.remove(replica.entry().id());
+      }
+    }
+  }
+
   /**
    * Handles the removal of a registry entry.
    *
--- a/library/src/test/java/org/bulrushpier/replica/ReplicaTableTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ReplicaTableTest.java
@@ -65,6 +65,18 @@
     assertThat(table.find("b")).isNull();
   }
 
+  @Test
+  void entryWithoutStartTimeIsNotKeptBecauseItWasReadFirst() {
+    table.put(entry("a-foreign", 0, false));
+    Replica foreign = table.find("a-foreign");
+
+    table.put(entry("b", 7, false));
+
+    assertThat(table.find("a-foreign")).isNull();
+    assertThat(foreign.isLeaving()).isTrue();
+    assertThat(table.find("b").isUsable(NOW)).isTrue();
+  }
+
   @Test
   void removedEntryMeansLeavingWhileTheStoreIsAvailable() {
     table.put(entry("a", 7, false));
--- a/rig/src/test/java/org/bulrushpier/rig/UnreadableObjectsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/UnreadableObjectsIntegrationTest.java
@@ -80,6 +80,31 @@
     }
   }
 
+  @ParameterizedTest
+  @MethodSource("unreadableEntries")
+  void replicaWhoseEntryBecameUnreadableIsNotUsedUntilItIsRenewed(String entry) throws Exception {
+    final GatewaySite.Instance instance = site.startInstances(1).getFirst();
+    ReplicaFake engine = site.engines().getFirst();
+    GatewaySite.await(() -> isUsed(instance, engine));
+    store.putRaw("servers", engine.id(), entry);
+    Thread.sleep(LEAVING_MILLIS);
+    final int executed = engine.executions().size();
+
+    for (int i = 0; i < 5 * CALLS; i++) {
+      assertThat(instance.generate()).isEqualTo(200);
+    }
+    assertThat(engine.executions()).hasSize(executed);
+
+    store.put("servers", engine.id(), engine.entry("engines", "ready"));
+    GatewaySite.await(() -> isUsed(instance, engine));
+  }
+
+  private static boolean isUsed(GatewaySite.Instance instance, ReplicaFake engine) {
+    int before = engine.executions().size();
+    instance.generate();
+    return engine.executions().size() > before;
+  }
+
   @Test
   void unreadableObjectsOfAllKindsDoNotStopChanges() throws Exception {
     final GatewaySite.Instance instance = site.startInstances(1).getFirst();
