--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -1043,7 +1043,8 @@
         handleRefusal();
       } else if (isForwardingEvents) {
         streamEnded();
-      } else if (!response.isSigned() || response.isEncoded()) {
+      } else if (!response.isOwnResponse()
+          || (response.isUnfoundedPromise() && !route.isRepeatable())) {
         replica.breaker().failed(MonotonicClock.millis());
         mayHaveRun = true;
         responseLost("an answer that is not the upstream's, status " + response.status());
