One entry with a start time no longer hides all entries without one

Cause: the first start time that was read decided over the whole registry. Change: entries without a start time are foreign if at least half of all entries have one, judged whenever replicas are looked up; an entry that loses its start time is still unusable.

--- a/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
@@ -14,6 +14,9 @@
  * may be healthy but unable to renew its entry. Such replicas remain in use until shortly after the
  * store becomes available again. Any other removal means that the replica is leaving.
  *
+ * <p>Entries without a start time are foreign if at least half of all entries have one. As a single
+ * entry does not decide over the others, foreign entries stay in the table.
+ *
  * <p>Invariants: a draining replica does not become available again within the same incarnation;
  * the entry of an earlier incarnation never replaces that of a later one.
  *
@@ -30,7 +33,6 @@
   private final Map<String, Replica> replicas = new LinkedHashMap<>();
   private boolean isStoreUnavailable;
   private long storeAvailableMillis = Long.MIN_VALUE / 2;
-  private boolean hasStartTimes;
 
   /** The effect of an update on the table. Immutable and thread-safe. */
   public enum Change {
@@ -48,9 +50,7 @@
     REMOVED,
     /** The entry is older than the one already known and was ignored. */
     STALE,
-    /**
-     * The entry was ignored because it lacks the start time that the entries of this registry have.
-     */
+    /** The entry was ignored because it lacks the start time that the replica's entry had. */
     FOREIGN
   }
 
@@ -61,12 +61,6 @@
    * @return the effect on the table
    */
   public Change put(ReplicaEntry entry) {
-    if (entry.startMillis() > 0 && !hasStartTimes) {
-      hasStartTimes = true;
-      removeWithoutStartTime();
-    } else if (entry.startMillis() == 0 && hasStartTimes) {
-      return Change.FOREIGN;
-    }
     Replica known = replicas.get(entry.id());
     if (known == null) {
       Replica added = new Replica(entry);
@@ -76,6 +70,9 @@
       }
       return Change.ADDED;
     }
+    if (entry.startMillis() == 0 && known.entry().startMillis() > 0) {
+      return Change.FOREIGN;
+    }
     if (entry.startMillis() < known.entry().startMillis()) {
       return Change.STALE;
     }
@@ -94,15 +91,6 @@
         : Change.NONE;
   }
 
-  private void removeWithoutStartTime() {
-    for (Replica replica : List.copyOf(replicas.values())) {
-      if (replica.entry().startMillis() == 0) {
-        replica.markLeaving("entry without a start time");
-        replicas.remove(replica.entry().id());
-      }
-    }
-  }
-
   /**
    * Handles the removal of a registry entry.
    *
@@ -187,14 +175,14 @@
   }
 
   /**
-   * Returns the replicas of a service, including those that are leaving.
+   * Returns the replicas of a service, including those that are leaving and except foreign ones.
    *
    * @param service the name of the service
    * @return the replicas
    */
   public List<Replica> replicasOf(String service) {
     List<Replica> found = new ArrayList<>();
-    for (Replica replica : replicas.values()) {
+    for (Replica replica : all()) {
       if (replica.entry().service().equals(service)) {
         found.add(replica);
       }
@@ -202,9 +190,14 @@
     return found;
   }
 
-  /** Returns all replicas, including those that are leaving. */
+  /** Returns all replicas, including those that are leaving and except foreign ones. */
   public Collection<Replica> all() {
-    return replicas.values();
+    long withStartTime =
+        replicas.values().stream().filter(replica -> replica.entry().startMillis() > 0).count();
+    boolean areStartTimesUsual = 2 * withStartTime >= replicas.size();
+    return withStartTime == 0 || !areStartTimesUsual
+        ? replicas.values()
+        : replicas.values().stream().filter(replica -> replica.entry().startMillis() > 0).toList();
   }
 
   /**
