A request for weights counts only for the model of its object and within the range of versions

What callers saw: nothing reported.

Cause: the model was taken from the content alone and the version was narrowed without a check.

Change: the model must be the object's name, and the version a whole number from 1 that fits 32 bits. Any other object is logged and requests nothing; the version known before holds.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
@@ -55,7 +55,7 @@
 
   private void accept(ReadableObject value, String source, Moment notBefore) {
     try {
-      SiteFormat.RequestedWeights requested = SiteFormat.weights(value.content());
+      SiteFormat.RequestedWeights requested = SiteFormat.weights(value.name(), value.content());
       RequestInterval interval = new RequestInterval(notBefore, Moment.now());
       if (isNew(requested)) {
         TargetWeights weights = context.weights();
