A stored configuration that cannot be read does not confirm the known one

What callers saw: nothing reported; read, not tried. While the stored configuration could not be read, each watch still confirmed the older one as current, so keys that the newer one had withdrawn stayed valid without end.

Cause: the watch confirmed the known configuration after every call, whatever had become of the stored one.

Change: the known configuration holds, but is not confirmed until the stored one can be read. Where keys are only valid for a limited age of the configuration, that age then tells the truth.

Measured: no test of its own; SiteFormatTest and StoreWatchTest cover the code around it.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
@@ -13,8 +13,8 @@
 /**
  * Watches the operators' configuration in the platform's metadata store.
  *
- * <p>Each successful call confirms that the known configuration is current. Guarded by the loop's
- * lock.
+ * <p>Each successful call confirms that the known configuration is current, unless the stored one
+ * cannot be read. Guarded by the loop's lock.
  */
 final class ConfigurationWatcher implements StoreWatch.Listener {
 
@@ -23,6 +23,9 @@
   private final GatewayContext context;
   private boolean isUnavailable;
 
+  /** Whether the stored configuration cannot be read, so that the known one may be outdated. */
+  private boolean isUnreadable;
+
   ConfigurationWatcher(GatewayContext context) {
     this.context = context;
   }
@@ -37,7 +40,9 @@
   public void changed(List<Event> events, Moment sent, Moment changedAfter) {
     logRecovery();
     events.forEach(event -> accept(event.value(), sent));
-    context.configuration().confirm(sent);
+    if (!isUnreadable) {
+      context.configuration().confirm(sent);
+    }
   }
 
   private void logRecovery() {
@@ -53,8 +58,7 @@
     }
     switch (value) {
       case ReadableObject readable -> accept(readable, sent);
-      case UnreadableObject unreadable ->
-          context.logChange("configuration-unreadable", unreadable.name(), unreadable.defect());
+      case UnreadableObject unreadable -> unreadable(unreadable.defect());
     }
   }
 
@@ -64,15 +68,21 @@
           SiteFormat.configuration(
               value.content(),
               finding -> context.logChange("configuration-finding", "main", finding));
+      isUnreadable = false;
       if (context.configuration().accept(read, sent)) {
         context.logChange(
             "configuration", "version " + read.version(), "revision " + value.revision());
       }
     } catch (IllegalArgumentException e) {
-      context.logChange("configuration-unreadable", "main", e.getMessage());
+      unreadable(e.getMessage());
     }
   }
 
+  private void unreadable(String defect) {
+    isUnreadable = true;
+    context.logChange("configuration-unreadable", CONFIGURATION_NAME, defect);
+  }
+
   @Override
   public void failed(String detail) {
     if (!isUnavailable) {
