A lease record that cannot be read does not stop the changes of weights of its model

What callers saw: nothing reported; read, not tried with real processes. The revision of an unreadable record was never learned, so every write of the lease was refused with 409 and no engine of the model got newer weights.

Change: an unreadable record counts as one of an unknown holder with its revision: orders stop, and after the term and the time between two holders the lease is taken with a write that replaces it.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -143,8 +143,14 @@
           rollouts
               .computeIfAbsent(readable.name(), Rollout::new)
               .observed(EngineFormat.leaseRecord(readable.content()), readable.revision());
-      case UnreadableObject unreadable ->
-          context.logChange("lease-unreadable", unreadable.name(), unreadable.defect());
+      case UnreadableObject unreadable -> {
+        context.logChange("lease-unreadable", unreadable.name(), unreadable.defect());
+        if (!unreadable.name().isEmpty()) {
+          rollouts
+              .computeIfAbsent(unreadable.name(), Rollout::new)
+              .observed(LeaseRecord.UNKNOWN, unreadable.revision());
+        }
+      }
     }
   }
 
@@ -452,8 +458,10 @@
         case ReadableObject readable ->
             lease.recordRead(
                 EngineFormat.leaseRecord(readable.content()), readable.revision(), Moment.now());
-        case UnreadableObject unreadable ->
-            context.logChange("lease-unreadable", model, unreadable.defect());
+        case UnreadableObject unreadable -> {
+          context.logChange("lease-unreadable", model, unreadable.defect());
+          lease.recordRead(LeaseRecord.UNKNOWN, unreadable.revision(), Moment.now());
+        }
       }
     }
 
--- a/library/src/main/java/org/bulrushpier/rollout/LeaseRecord.java
+++ b/library/src/main/java/org/bulrushpier/rollout/LeaseRecord.java
@@ -17,6 +17,9 @@
 public record LeaseRecord(
     String holder, int version, List<String> changing, List<String> changed, boolean isReleased) {
 
+  /** Stands for a stored record that cannot be read: its holder may still send orders. */
+  public static final LeaseRecord UNKNOWN = new LeaseRecord("", 0, List.of(), List.of(), false);
+
   /** Copies the lists. */
   public LeaseRecord {
     changing = List.copyOf(changing);
--- a/library/src/test/java/org/bulrushpier/rollout/OrderLeaseTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/OrderLeaseTest.java
@@ -35,6 +35,19 @@
     assertThat(lease.fence()).isEqualTo(10);
   }
 
+  @Test
+  void leaseWithUnreadableRecordIsTakenAfterItsTerm() {
+    OrderLease lease = OrderLease.of("a", TURN);
+    lease.recordWrite(record("a", false), 10, at(1_000));
+
+    lease.recordRead(LeaseRecord.UNKNOWN, 20, at(2_000));
+
+    assertThat(lease.mayOrder(at(2_001))).isFalse();
+    assertThat(lease.mayTake(at(2_000 + OrderLease.TERM_MILLIS))).isFalse();
+    assertThat(lease.mayTake(at(2_000 + 2 * OrderLease.TERM_MILLIS + TURN))).isTrue();
+    assertThat(lease.revision()).isEqualTo(20);
+  }
+
   @Test
   void suspensionEndsTheTerm() {
     OrderLease lease = OrderLease.of("a", TURN);
