A datagram that cannot be handled does not end the exchange between instances

What callers saw: nothing reported; read, not tried. The receiving thread ended at any exception other than of the socket, such as for a datagram from port 0, and the instance no longer heard of the others.

Cause: only IOException was caught around the handling of a datagram.

Change: exceptions and stack overflows are logged, and the next datagram is received.

Measured: no test of its own.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -223,8 +223,8 @@
         }
       } catch (ClosedChannelException e) {
         return;
-      } catch (IOException e) {
-        loop.run(() -> log.event("datagram-not-received", "detail", e.getMessage()));
+      } catch (IOException | RuntimeException | StackOverflowError e) {
+        loop.run(() -> log.event("datagram-not-received", "detail", e.toString()));
       }
     }
   }
