A request without an id gets a connection of its own

Since responses without an id are not attributed on a kept connection, a call that the caller sent without Attempt-Id waited on such a connection until its deadline and got 504: a replica has no id to name in its response.

A request without an id is sent on a new connection, on which its response can be attributed.

Evidence: callsWithoutIdAreAnswered failed with the code before, with 504, and passes now.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
@@ -23,6 +23,9 @@
   /** Allows any idle connection that the peer still keeps open. */
   public static final long ANY_IDLE_TIME = Long.MAX_VALUE;
 
+  /** Allows no idle connection, so that a response that names no request can be attributed. */
+  public static final long NEW_CONNECTION = -1;
+
   private static final long SWEEP_MILLIS = 1_000;
 
   private final EventLoop loop;
@@ -48,7 +51,7 @@
   }
 
   /**
-   * Sends a request on an idle connection, or on a new one if there is none.
+   * Sends a request on an idle connection, or on a new one if there is none or none is allowed.
    *
    * @param address the address to send the request to
    * @param request the request
@@ -101,7 +104,7 @@
     private void send(OutboundRequest request, long maxIdleMillis) {
       long now = MonotonicClock.millis();
       OutboundConnection connection;
-      while ((connection = idle.pollLast()) != null) {
+      while (maxIdleMillis != NEW_CONNECTION && (connection = idle.pollLast()) != null) {
         long idleFor = now - connection.idleSinceMillis();
         if (!connection.isClosed()
             && idleFor < connection.idleMillis()
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -366,8 +366,12 @@
   private void send(Placement.Send placement, long remaining) {
     Attempt attempt = new Attempt(placement.replica(), placement);
     race.begin(attempt);
-    long maxIdle =
-        route.isRepeatable() ? ConnectionPool.ANY_IDLE_TIME : NON_REPEATABLE_MAX_IDLE_MILLIS;
+    long maxIdle = NON_REPEATABLE_MAX_IDLE_MILLIS;
+    if (request.id().isEmpty()) {
+      maxIdle = ConnectionPool.NEW_CONNECTION;
+    } else if (route.isRepeatable()) {
+      maxIdle = ConnectionPool.ANY_IDLE_TIME;
+    }
     boolean isStarted = false;
     try {
       attempt.start(remaining, maxIdle);
--- a/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
@@ -213,6 +213,21 @@
     assertThat(callWithForeignBytes(foreign)).isPositive();
   }
 
+  @Test
+  void callsWithoutIdAreAnswered() throws Exception {
+    URI uri = URI.create("http://" + settings.callerAddress() + "/once/a");
+    for (int i = 0; i < CALLS; i++) {
+      HttpResponse<String> response =
+          send(
+              HttpRequest.newBuilder(uri)
+                  .header("Deadline-Ms", "5000")
+                  .header("Authorization", "Bearer key"));
+
+      assertThat(response.statusCode()).isEqualTo(200);
+      assertThat(response.body()).isEqualTo("done");
+    }
+  }
+
   @Test
   void refusalWithoutIdOnNewConnectionIsBelieved() throws Exception {
     AtomicInteger refused = new AtomicInteger();
