--- a/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bulrushpier.Address;
@@ -231,6 +232,90 @@
     }
   }
 
+  @Test
+  void responseWithContradictoryFramingFails() throws Exception {
+    for (String framing :
+        List.of(
+            "Content-Length: 2\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: chunked\r\nContent-Length: 2",
+            "Content-Length: 2\r\nContent-Length: 5",
+            "Content-Length: -1",
+            "Content-Length: 2, 2x")) {
+      try (RawServer server =
+          new RawServer(
+              socket -> {
+                RawServer.readHead(socket);
+                RawServer.write(
+                    socket,
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
+                        + framing
+                        + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+              })) {
+        assertThat(outcome(send(server.address(), "a"))).as(framing).isEqualTo("failed");
+      }
+    }
+  }
+
+  @Test
+  void bodyOfResponseThatHasNoneIsNotTakenForTheNextResponse() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              RawServer.readHead(socket);
+              RawServer.write(
+                  socket,
+                  "HTTP/1.1 204 X\r\nAttempt-Id: a\r\nContent-Length: 46\r\n\r\n"
+                      + RESPONSE.formatted("b", "no"));
+            },
+            socket -> {
+              RawServer.readHead(socket);
+              RawServer.write(socket, RESPONSE.formatted("b", "ok"));
+            })) {
+      assertThat(outcome(send(server.address(), "a"))).isEqualTo("complete: ");
+      assertThat(outcome(send(server.address(), "b"))).isEqualTo("complete: ok");
+    }
+  }
+
+  @Test
+  void connectionThatThePeerDoesNotKeepIsNotReused() throws Exception {
+    for (String field : List.of("Keep-Alive: timeout=0", "Connection: close")) {
+      try (RawServer server =
+          new RawServer(
+              socket -> {
+                RawServer.readHead(socket);
+                RawServer.write(
+                    socket,
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 2\r\n"
+                        + field
+                        + "\r\n\r\nok"
+                        + RESPONSE.formatted("b", "no"));
+              },
+              socket -> {
+                RawServer.readHead(socket);
+                RawServer.write(socket, RESPONSE.formatted("b", "ok"));
+              })) {
+        assertThat(outcome(send(server.address(), "a"))).as(field).isEqualTo("complete: ok");
+        assertThat(outcome(send(server.address(), "b"))).as(field).isEqualTo("complete: ok");
+      }
+    }
+  }
+
+  /** Trailers are no part of the body. */
+  @Test
+  void trailersAreSkipped() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              RawServer.readHead(socket);
+              RawServer.write(
+                  socket,
+                  "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      + "2\r\nok\r\n0\r\nNot-Executed: 1\r\n\r\n");
+            })) {
+      assertThat(outcome(send(server.address(), "a"))).isEqualTo("complete: ok");
+    }
+  }
+
   @Test
   void interimResponsesAreSkipped() throws Exception {
     try (RawServer server =
