--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
@@ -9,12 +9,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.bulrushpier.Address;
 import org.bulrushpier.Moment;
+import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.daemon.net.ConnectionPool;
@@ -31,6 +33,7 @@
   private static final String B = object("b");
 
   private final EventLoop loop = EventLoop.start();
+  private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> responses = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> deliveries = new LinkedBlockingQueue<>();
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
@@ -80,11 +83,19 @@
     store.createContext(
         "/",
         exchange -> {
+          requests.add(exchange.getRequestURI().getRawQuery() + "");
           byte[] body = nextResponse().getBytes(StandardCharsets.UTF_8);
           exchange.sendResponseHeaders(200, body.length);
           exchange.getResponseBody().write(body);
           exchange.close();
         });
+    store.createContext(
+        "/loaded",
+        exchange -> {
+          StoreFormat.page(page(1, false, A).getBytes(StandardCharsets.UTF_8));
+          exchange.sendResponseHeaders(200, -1);
+          exchange.close();
+        });
     store.setExecutor(threads);
     store.start();
   }
@@ -105,12 +116,19 @@
     store.stop(0);
   }
 
-  private void startWatch(Throwable fault) {
+  private void startWatch(Throwable fault) throws InterruptedException {
     Address address = new Address("127.0.0.1", store.getAddress().getPort());
     ControlClient client = new ControlClient(loop, ConnectionPool.of(loop, 1_000));
     StoreWatch.Timing timing = new StoreWatch.Timing(10_000, 0);
     StoreWatch watch =
         new StoreWatch(loop, client, () -> address, "servers", timing, new Recorder(fault));
+    // Loads the classes that the watch needs, which must not count towards its timeouts.
+    CountDownLatch isLoaded = new CountDownLatch(1);
+    loop.run(
+        () ->
+            client.call(
+                address, "GET", "/loaded", new byte[0], 30_000, outcome -> isLoaded.countDown()));
+    assertThat(isLoaded.await(30, TimeUnit.SECONDS)).isTrue();
     loop.run(watch::start);
   }
 
@@ -186,6 +204,37 @@
     expect("listed[a]", "failed", "listed[a, b]", "changed[a]");
   }
 
+  @Test
+  void changeOfAnEarlierPageMadeWhileTheListIsReadIsNotMissed() throws InterruptedException {
+    responses.addAll(List.of(page(3, true, A), page(7, false, B), change(9, A)));
+    startWatch(null);
+
+    expect("listed[a, b]", "changed[a]");
+    assertThat(next(requests)).isEqualTo("null");
+    assertThat(next(requests)).isEqualTo("after=a");
+    assertThat(next(requests)).startsWith("watch=3&");
+    assertThat(next(requests)).startsWith("watch=9&");
+  }
+
+  @Test
+  void listContinuesAfterTheLastNameThatCanBeRead() throws InterruptedException {
+    responses.addAll(List.of(page(3, true, A, "{}", "7"), page(3, false, B)));
+    startWatch(null);
+
+    expect("listed[a, , , b]");
+    assertThat(next(requests)).isEqualTo("null");
+    assertThat(next(requests)).isEqualTo("after=a");
+  }
+
+  @Test
+  void listThatDoesNotContinueIsReadAgainOnlyAfterPause() throws InterruptedException {
+    responses.addAll(List.of(page(3, true, A), page(3, true, "{}"), page(3, true, A)));
+    responses.addAll(List.of(page(3, true, A), page(3, false, A, B)));
+    startWatch(null);
+
+    expect("failed", "failed", "listed[a, b]");
+  }
+
   private static Moment at(long millis) {
     return new Moment(millis, millis);
   }
--- a/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
@@ -213,6 +213,21 @@
     assertThat(callWithForeignBytes(foreign)).isPositive();
   }
 
+  @Test
+  void callsWithoutIdAreAnswered() throws Exception {
+    URI uri = URI.create("http://" + settings.callerAddress() + "/once/a");
+    for (int i = 0; i < CALLS; i++) {
+      HttpResponse<String> response =
+          send(
+              HttpRequest.newBuilder(uri)
+                  .header("Deadline-Ms", "5000")
+                  .header("Authorization", "Bearer key"));
+
+      assertThat(response.statusCode()).isEqualTo(200);
+      assertThat(response.body()).isEqualTo("done");
+    }
+  }
+
   @Test
   void refusalWithoutIdOnNewConnectionIsBelieved() throws Exception {
     AtomicInteger refused = new AtomicInteger();
@@ -223,6 +238,45 @@
     assertThat(sendOnce().statusCode()).isEqualTo(200);
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {408, 429, 503})
+  void callThatMayRunOnceGetsNoPromiseThatItsReplicaDoesNotState(int status) throws Exception {
+    script(calls, execution -> new RawResponse(sealed(execution, status, "busy"), false));
+
+    HttpResponse<String> response = sendOnce();
+
+    assertThat(response.statusCode()).isEqualTo(502);
+    assertThat(response.headers().firstValue("Server-Seal")).isEmpty();
+    assertThat(executed(calls)).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {200, 201, 302, 404, 500, 504})
+  void responseThatContradictsItsRefusalIsNeitherForwardedNorSentAgain(int status)
+      throws Exception {
+    script(
+        calls,
+        execution ->
+            new RawResponse(
+                sealed(execution, status) + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false));
+
+    HttpResponse<String> response = sendOnce();
+
+    assertThat(response.statusCode()).isEqualTo(502);
+    assertThat(executed(calls)).isEqualTo(1);
+  }
+
+  @Test
+  void repeatableCallGetsTheStatusThatItsReplicasGave() throws Exception {
+    script(calls, execution -> new RawResponse(sealed(execution, 503, "busy"), false));
+
+    HttpResponse<String> response = send(request("/safe/a"));
+
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(response.headers().firstValue("Server-Seal")).isPresent();
+    assertThat(executed(calls)).isEqualTo(2);
+  }
+
   /** A response that cannot continue a stream. */
   private enum NoContinuation {
     ERROR,
