A request that arrived during a stall is read before its idle connection is closed

Cause: after a stall of the process the timer may run before the bytes that arrived meanwhile are read. Change: an idle connection is read once more before it is closed. Evidence: the test failed before (no request).

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -323,7 +323,7 @@
     if (waitedMillis < limitMillis) {
       timer = loop.after(limitMillis - waitedMillis, this::waitEnded);
     } else if (parser.isStart()) {
-      disconnect();
+      closeUnlessRequestArrived();
     } else {
       log.info(
           "net: request cut off, its caller sent nothing for {} ms (limit {} ms).",
@@ -333,6 +333,12 @@
     }
   }
 
+  private void closeUnlessRequestArrived() {
+    if (readAvailable() && parser.isStart() && !isResponding) {
+      disconnect();
+    }
+  }
+
   private void stopTimer() {
     if (timer != null) {
       timer.cancel();
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -73,6 +73,18 @@
   }
 
   private void read() {
+    if (readAvailable()) {
+      awaitReadable();
+    }
+  }
+
+  /**
+   * Reads what has arrived. Between two notifications this finds bytes of which the connection has
+   * not been notified yet, as after a stall of this process.
+   *
+   * @return false if the connection ended
+   */
+  final boolean readAvailable() {
     isReading = true;
     try {
       while (!isClosed && !isReadingPaused) {
@@ -81,7 +93,7 @@
         int count = getEndPoint().fill(buffer);
         if (count < 0) {
           finish(false, "the peer closed the connection");
-          return;
+          return false;
         }
         if (count == 0) {
           break;
@@ -95,17 +107,17 @@
       }
     } catch (IOException e) {
       finish(true, String.valueOf(e.getMessage()));
-      return;
+      return false;
     } catch (RuntimeException | StackOverflowError | AssertionError e) {
       log.error(
           "net: bytes from {} could not be handled.", getEndPoint().getRemoteSocketAddress(), e);
       finish(true, "the bytes received could not be handled");
-      return;
+      return false;
     } finally {
       isReading = false;
       flush();
     }
-    awaitReadable();
+    return true;
   }
 
   private void finish(boolean isReset, String detail) {
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -367,6 +367,47 @@
     }
   }
 
+  /** After a stall of the process the timer may run before the bytes that arrived are read. */
+  @Test
+  void requestThatArrivedDuringStallIsReadBeforeItsConnectionIsClosed() throws Exception {
+    limits = new CallerLimits(2_000, 1_000, 60_000, 400);
+    for (int i = 0; i < 5; i++) {
+      try (Socket socket = connect()) {
+        RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        nextRequest();
+        respond("");
+        assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+
+        loop.run(
+            () -> {
+              sleep(500);
+              write(socket, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+              sleep(100);
+            });
+
+        assertThat(nextRequest()).isNotNull();
+        respond("");
+        assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 200");
+      }
+    }
+  }
+
+  private static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void write(Socket socket, String text) {
+    try {
+      RawServer.write(socket, text);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Callers who were refused leave their connections open and return on new ones. */
   @Test
   void idleConnectionsHoldLittleMemory() throws Exception {
