--- a/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
@@ -266,6 +266,14 @@
     assertThat(executed(calls)).isEqualTo(1);
   }
 
+  @Test
+  void largestBodyIsForwardedWhole() throws Exception {
+    String largest = "a".repeat(4 * 1_024 * 1_024);
+    script(calls, execution -> new RawResponse(sealed(execution, 200, largest), false));
+
+    assertThat(sendOnce().body()).isEqualTo(largest);
+  }
+
   @Test
   void repeatableCallGetsTheStatusThatItsReplicasGave() throws Exception {
     script(calls, execution -> new RawResponse(sealed(execution, 503, "busy"), false));
