Comments in a stream do not make it impossible to continue

A block without id and data, such as a keep-alive comment, was taken for an event without a number. Since such events make a stream that may not be continued, a comment would have cost a resumable stream its second engine, and a continuation that begins with one would have been rejected. Comments are forwarded and change nothing. Evidence: commentsAreNotTakenForEventsWithoutId; the splitter told -1 for all of them before.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -992,6 +992,11 @@
       if (isEnded) {
         return;
       }
+      if (id == EventSplitter.NO_EVENT) {
+        replica.recordActivity(MonotonicClock.millis());
+        caller.body(ByteBuffer.wrap(bytes));
+        return;
+      }
       if (!isNextEvent(id)) {
         context
             .log()
--- a/library/src/main/java/org/bulrushpier/stream/EventSplitter.java
+++ b/library/src/main/java/org/bulrushpier/stream/EventSplitter.java
@@ -12,6 +12,10 @@
  */
 public final class EventSplitter {
 
+  /** Given in place of an id for a block that is no event, such as a comment. */
+  public static final long NO_EVENT = -2;
+
+  private static final byte[] DATA = "data".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final int DECIMAL = 10;
 
@@ -30,7 +34,7 @@
      * Receives an event.
      *
      * @param bytes the bytes of the event, including the terminating empty line
-     * @param id the id of the event, or -1 if it has no numeric id
+     * @param id the id of the event, -1 if it has no numeric id, or {@link #NO_EVENT}
      */
     void event(byte[] bytes, long id);
   }
@@ -90,8 +94,9 @@
     sink.event(bytes, id(bytes));
   }
 
-  /** Returns the number in the id line of an event, or -1 if there is none. */
+  /** Returns the number in the id line of a block, -1 if it has data only, or NO_EVENT. */
   private static long id(byte[] bytes) {
+    long absent = NO_EVENT;
     int start = 0;
     while (start < bytes.length) {
       int end = start;
@@ -101,9 +106,12 @@
       if (startsWith(bytes, start, ID)) {
         return number(bytes, start + ID.length, end);
       }
+      if (startsWith(bytes, start, DATA)) {
+        absent = -1;
+      }
       start = end + 1;
     }
-    return -1;
+    return absent;
   }
 
   private static boolean startsWith(byte[] bytes, int offset, byte[] prefix) {
--- a/library/src/test/java/org/bulrushpier/stream/EventSplitterTest.java
+++ b/library/src/test/java/org/bulrushpier/stream/EventSplitterTest.java
@@ -68,4 +68,11 @@
 
     assertThat(ids).containsExactly(-1L, -1L);
   }
+
+  @Example
+  void commentsAreNotTakenForEventsWithoutId() {
+    feed(new EventSplitter(), ": ping\n\nretry: 5\n\ndata: a\n\nid: 3\ndata: b\n\n");
+
+    assertThat(ids).containsExactly(EventSplitter.NO_EVENT, EventSplitter.NO_EVENT, -1L, 3L);
+  }
 }
