--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -83,8 +83,13 @@
   private final InboundRequest inbound;
   private final CallerRequest request;
   private final long arrivedMillis = MonotonicClock.millis();
+
+  /** Replicas to which the request was sent, or which could not be reached. */
   private final Set<String> triedReplicas = new HashSet<>();
+
+  /** Tried replicas that may run the prompt again if no other can: their attempts broke off. */
   private final Set<String> lostReplicas = new HashSet<>();
+
   private ConfiguredRoute route;
   private KeyHolder holder = KeyHolder.ANONYMOUS;
   private String service = "";
