A connection whose request was read at the last moment is not closed behind its answer

Cause: an idle connection is read once more before it is closed; if the request found then was answered at once, the connection looked idle again, and the wait that had ended before closed it. Change: it is closed only if no new wait has begun. Evidence: the test failed before (connection closed).

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -334,7 +334,8 @@
   }
 
   private void closeUnlessRequestArrived() {
-    if (readAvailable() && parser.isStart() && !isResponding) {
+    EventLoop.Timer ended = timer;
+    if (readAvailable() && timer == ended) {
       disconnect();
     }
   }
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -392,6 +392,35 @@
     }
   }
 
+  @Test
+  void connectionIsKeptAfterRequestThatArrivedDuringStallIsAnsweredAtOnce() throws Exception {
+    Address refusing = freeAddress();
+    CallerConnection.Handler handler =
+        new RefusingHandler() {
+          @Override
+          public CallerLimits limits() {
+            return new CallerLimits(2_000, 1_000, 60_000, 400);
+          }
+        };
+    try (Closeable refusingListener = loop.listen(refusing, handler);
+        Socket socket = new Socket(refusing.host(), refusing.port())) {
+      socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
+      RawServer.write(socket, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 503");
+
+      loop.run(
+          () -> {
+            sleep(500);
+            write(socket, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+            sleep(100);
+          });
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 503");
+      RawServer.write(socket, "GET /c HTTP/1.1\r\nHost: x\r\n\r\n");
+
+      assertThat(RawServer.readHead(socket)).startsWith("HTTP/1.1 503");
+    }
+  }
+
   private static void sleep(long millis) {
     try {
       Thread.sleep(millis);
@@ -430,7 +459,7 @@
   }
 
   /** Refuses every request without closing the connection. */
-  private static final class RefusingHandler implements CallerConnection.Handler {
+  private static class RefusingHandler implements CallerConnection.Handler {
     @Override
     public void requestReceived(CallerConnection connection, InboundRequest request) {
       connection.respond(503, HttpFields.EMPTY, new byte[0]);
