--- a/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -58,15 +58,15 @@
     Schedule draw() {
       versions();
       while (millis < endMillis) {
-        switch (random.nextInt(27)) {
-          case 0, 1, 2, 3 -> versions();
-          case 4, 5, 6, 7 -> restarts();
-          case 8, 9 -> pauses();
-          case 10, 11 -> storeFaults();
-          case 12, 13, 14 -> configurations();
-          case 15, 16, 17, 18 -> silences();
-          case 19, 20 -> wrongResponses();
-          case 21, 22 -> foreignEntries();
+        switch (random.nextInt(30)) {
+          case 0, 1, 2, 3, 4, 5, 6 -> versions();
+          case 7, 8, 9, 10 -> restarts();
+          case 11, 12 -> pauses();
+          case 13, 14 -> storeFaults();
+          case 15, 16, 17 -> configurations();
+          case 18, 19, 20, 21 -> silences();
+          case 22, 23 -> wrongResponses();
+          case 24, 25 -> foreignEntries();
           default -> replicaFaults();
         }
         millis += between(MIN_GAP_MILLIS, MAX_GAP_MILLIS);
