Foreign replicas are filtered in one place

The filter stood beside a copy of all replicas that each placement made; the check for no start time at all was part of the comparison already.

--- a/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * The replicas that this instance considers alive.
@@ -181,23 +182,20 @@
    * @return the replicas
    */
   public List<Replica> replicasOf(String service) {
-    List<Replica> found = new ArrayList<>();
-    for (Replica replica : all()) {
-      if (replica.entry().service().equals(service)) {
-        found.add(replica);
-      }
-    }
-    return found;
+    return withoutForeign().filter(replica -> replica.entry().service().equals(service)).toList();
   }
 
   /** Returns all replicas, including those that are leaving and except foreign ones. */
   public Collection<Replica> all() {
+    return withoutForeign().toList();
+  }
+
+  private Stream<Replica> withoutForeign() {
     long withStartTime =
         replicas.values().stream().filter(replica -> replica.entry().startMillis() > 0).count();
     boolean areStartTimesUsual = 2 * withStartTime >= replicas.size();
-    return withStartTime == 0 || !areStartTimesUsual
-        ? replicas.values()
-        : replicas.values().stream().filter(replica -> replica.entry().startMillis() > 0).toList();
+    return replicas.values().stream()
+        .filter(replica -> replica.entry().startMillis() > 0 || !areStartTimesUsual);
   }
 
   /**
