--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -138,20 +138,20 @@
     if (isRemoved) {
       return;
     }
-    switch (value) {
-      case ReadableObject readable ->
-          rollouts
-              .computeIfAbsent(readable.name(), Rollout::new)
-              .observed(EngineFormat.leaseRecord(readable.content()), readable.revision());
+    LeaseRecord record = leaseRecord(value.name(), value);
+    if (!value.name().isEmpty()) {
+      rollouts.computeIfAbsent(value.name(), Rollout::new).observed(record, value.revision());
+    }
+  }
+
+  private LeaseRecord leaseRecord(String model, StoreObject value) {
+    return switch (value) {
+      case ReadableObject readable -> EngineFormat.leaseRecord(readable.content());
       case UnreadableObject unreadable -> {
-        context.logChange("lease-unreadable", unreadable.name(), unreadable.defect());
-        if (!unreadable.name().isEmpty()) {
-          rollouts
-              .computeIfAbsent(unreadable.name(), Rollout::new)
-              .observed(LeaseRecord.UNKNOWN, unreadable.revision());
-        }
+        context.logChange("lease-unreadable", model, unreadable.defect());
+        yield LeaseRecord.UNKNOWN;
       }
-    }
+    };
   }
 
   /** Asks an engine which weights it serves, as it refused a request for the known version. */
@@ -433,7 +433,7 @@
           StoreObject other = StoreFormat.value(outcome.body());
           lease.recordConflict();
           changing.clear();
-          recordOther(other);
+          lease.recordRead(leaseRecord(model, other), other.revision(), Moment.now());
           context.log().event("lease-refused", "model", model, "revision", other.revision());
         } else {
           nextWriteMillis = MonotonicClock.millis() + WRITE_PAUSE_MILLIS;
@@ -453,18 +453,6 @@
       }
     }
 
-    private void recordOther(StoreObject other) {
-      switch (other) {
-        case ReadableObject readable ->
-            lease.recordRead(
-                EngineFormat.leaseRecord(readable.content()), readable.revision(), Moment.now());
-        case UnreadableObject unreadable -> {
-          context.logChange("lease-unreadable", model, unreadable.defect());
-          lease.recordRead(LeaseRecord.UNKNOWN, unreadable.revision(), Moment.now());
-        }
-      }
-    }
-
     /** Returns the ids of the engines that are changing or may begin to at any time. */
     private Set<String> activeChanges() {
       Set<String> active = new LinkedHashSet<>();
