--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.bulrushpier.Hash;
 import org.bulrushpier.Moment;
 import org.bulrushpier.MonotonicClock;
@@ -259,22 +260,12 @@
           shutdownStartMillis = start;
           context.log().event("leaving", "running", exchanges.size());
         });
-    long limit = (long) (settings.shutdownMillis() * SHUTDOWN_SHARE);
-    while (MonotonicClock.millis() - start < limit) {
-      if (MonotonicClock.millis() - start > BALANCER_DELAY_MILLIS && stopIfIdle()) {
-        break;
-      }
-      if (!sleep()) {
-        break;
-      }
-    }
+    long deadline = start + (long) (settings.shutdownMillis() * SHUTDOWN_SHARE);
+    awaitUntil(
+        deadline, () -> MonotonicClock.millis() - start > BALANCER_DELAY_MILLIS && stopIfIdle());
     loop.run(() -> isStopping = true);
     releaseLeases();
-    while (MonotonicClock.millis() - start < limit && !isIdle()) {
-      if (!sleep()) {
-        break;
-      }
-    }
+    awaitUntil(deadline, this::isIdle);
     abandonRequests();
     loop.run(() -> context.log().event("stopped", "running", exchanges.size()));
   }
@@ -285,12 +276,7 @@
         () ->
             List.copyOf(exchanges)
                 .forEach(exchange -> exchange.abandon("this instance is shutting down")));
-    long deadline = MonotonicClock.millis() + RELEASE_MILLIS;
-    while (MonotonicClock.millis() < deadline && !isIdle()) {
-      if (!sleep()) {
-        return;
-      }
-    }
+    awaitUntil(MonotonicClock.millis() + RELEASE_MILLIS, this::isIdle);
   }
 
   /** Refuses all further requests if none is under way, as none could be finished any more. */
@@ -304,24 +290,24 @@
    */
   private void releaseLeases() {
     loop.run(rollouts::stop);
-    long deadline = MonotonicClock.millis() + RELEASE_MILLIS;
-    boolean[] isHolder = {true};
-    while (isHolder[0] && MonotonicClock.millis() < deadline) {
-      loop.run(() -> isHolder[0] = rollouts.isHolder());
-      if (isHolder[0] && !sleep()) {
-        return;
-      }
-    }
+    awaitUntil(MonotonicClock.millis() + RELEASE_MILLIS, () -> !isLeaseHolder());
+  }
+
+  private boolean isLeaseHolder() {
+    boolean[] isHolder = new boolean[1];
+    loop.run(() -> isHolder[0] = rollouts.isHolder());
+    return isHolder[0];
   }
 
-  /** Sleeps for the poll interval; returns false if the thread was interrupted. */
-  private static boolean sleep() {
-    try {
-      TimeUnit.MILLISECONDS.sleep(SHUTDOWN_POLL_MILLIS);
-      return true;
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return false;
+  /** Waits until the condition holds, the time is over or the thread is interrupted. */
+  private static void awaitUntil(long deadlineMillis, BooleanSupplier condition) {
+    while (MonotonicClock.millis() < deadlineMillis && !condition.getAsBoolean()) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(SHUTDOWN_POLL_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
     }
   }
 
