Less state and fewer clock reads on the way of a response

Whether an earlier response on a connection's first request was discarded is what the last head left behind. An event reads the clock once. The steps of an exchange that may throw are called through their guarded forms only.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
@@ -47,7 +47,6 @@
   private int status;
   private int interimResponses;
   private boolean isMismatched;
-  private boolean hasMismatched;
   private boolean isPersistent = true;
   private boolean isResponsePending;
   private boolean isHttp11;
@@ -249,10 +248,9 @@
       }
       ResponseHead head =
           new ResponseHead(
-              status, fields, parser.getContentLength(), requests == 1 && !hasMismatched);
+              status, fields, parser.getContentLength(), requests == 1 && !isMismatched);
       isMismatched = !request.listener().matches(head);
       if (isMismatched) {
-        hasMismatched = true;
         log.info(
             "net: {} sent a response to another request; response discarded.", group.address());
       } else {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -152,7 +152,7 @@
   }
 
   /** Checks the route and the key, then sends the request to an upstream or refuses it. */
-  void begin() {
+  private void begin() {
     Optional<Configuration> known = context.configuration().configuration();
     if (known.isEmpty()) {
       refuse("no configuration is known yet", UNCONFIGURED_RETRY_MILLIS);
@@ -395,7 +395,7 @@
   }
 
   /** Checks the request's deadline and the silence of its attempts. */
-  void tick(long nowMillis) {
+  private void tick(long nowMillis) {
     if (isDone) {
       return;
     }
@@ -859,8 +859,7 @@
     }
 
     /** Cancels all other attempts, as this one has made progress. */
-    private void overtakeOthers() {
-      long now = MonotonicClock.millis();
+    private void overtakeOthers(long nowMillis) {
       for (Attempt other : race.progressed(this)) {
         context
             .log()
@@ -875,7 +874,7 @@
                 "started",
                 other.inFlight.isStarted(),
                 "silentForMs",
-                other.silentMillis(now),
+                other.silentMillis(nowMillis),
                 "lastEvent",
                 lastEvent);
         other.replicaLost();
@@ -959,10 +958,11 @@
     private void startStream() {
       isForwardingEvents = true;
       isContinuation = firstEventAfterMillis >= 0;
+      long now = MonotonicClock.millis();
       if (!isContinuation) {
-        overtakeOthers();
+        overtakeOthers(now);
       }
-      lastProgressMillis = MonotonicClock.millis();
+      lastProgressMillis = now;
       if (!isStreaming) {
         isStreaming = true;
         context.metrics().firstEvent(elapsedMillis());
@@ -1018,8 +1018,8 @@
         rejectResponse("an event of the stream is out of order");
         return;
       }
-      overtakeOthers();
       long now = MonotonicClock.millis();
+      overtakeOthers(now);
       recordProgress(now);
       replica.recordActivity(now);
       if (id >= 0) {
