--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -326,7 +326,7 @@
       closeUnlessRequestArrived();
     } else {
       log.info(
-          "net: request cut off, its caller sent nothing for {} ms (limit {} ms).",
+          "net: unfinished request rejected after a wait of {} ms (limit {} ms).",
           waitedMillis,
           limitMillis);
       reject(HttpStatus.REQUEST_TIMEOUT_408);
