Tests share the settings of a gateway and the scripts of a raw server

Four test classes had the text of the settings file and its parsing, one of them a copy of all settings for one changed value; requests with a prompt were built twice in one class, and a script that reads a request and sends bytes six times. Assertions and bounds are unchanged.

--- a/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
@@ -232,6 +232,14 @@
     }
   }
 
+  /** Reads a request and sends bytes. */
+  private static RawServer.Script response(String text) {
+    return socket -> {
+      RawServer.readHead(socket);
+      RawServer.write(socket, text);
+    };
+  }
+
   @Test
   void responseWithContradictoryFramingFails() throws Exception {
     for (String framing :
@@ -243,14 +251,10 @@
             "Content-Length: 2, 2x")) {
       try (RawServer server =
           new RawServer(
-              socket -> {
-                RawServer.readHead(socket);
-                RawServer.write(
-                    socket,
-                    "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
-                        + framing
-                        + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
-              })) {
+              response(
+                  "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
+                      + framing
+                      + "\r\n\r\n2\r\nok\r\n0\r\n\r\n"))) {
         assertThat(outcome(send(server.address(), "a"))).as(framing).isEqualTo("failed");
       }
     }
@@ -260,17 +264,10 @@
   void bodyOfResponseThatHasNoneIsNotTakenForTheNextResponse() throws Exception {
     try (RawServer server =
         new RawServer(
-            socket -> {
-              RawServer.readHead(socket);
-              RawServer.write(
-                  socket,
-                  "HTTP/1.1 204 X\r\nAttempt-Id: a\r\nContent-Length: 46\r\n\r\n"
-                      + RESPONSE.formatted("b", "no"));
-            },
-            socket -> {
-              RawServer.readHead(socket);
-              RawServer.write(socket, RESPONSE.formatted("b", "ok"));
-            })) {
+            response(
+                "HTTP/1.1 204 X\r\nAttempt-Id: a\r\nContent-Length: 46\r\n\r\n"
+                    + RESPONSE.formatted("b", "no")),
+            response(RESPONSE.formatted("b", "ok")))) {
       assertThat(outcome(send(server.address(), "a"))).isEqualTo("complete: ");
       assertThat(outcome(send(server.address(), "b"))).isEqualTo("complete: ok");
     }
@@ -281,19 +278,12 @@
     for (String field : List.of("Keep-Alive: timeout=0", "Connection: close")) {
       try (RawServer server =
           new RawServer(
-              socket -> {
-                RawServer.readHead(socket);
-                RawServer.write(
-                    socket,
-                    "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 2\r\n"
-                        + field
-                        + "\r\n\r\nok"
-                        + RESPONSE.formatted("b", "no"));
-              },
-              socket -> {
-                RawServer.readHead(socket);
-                RawServer.write(socket, RESPONSE.formatted("b", "ok"));
-              })) {
+              response(
+                  "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 2\r\n"
+                      + field
+                      + "\r\n\r\nok"
+                      + RESPONSE.formatted("b", "no")),
+              response(RESPONSE.formatted("b", "ok")))) {
         assertThat(outcome(send(server.address(), "a"))).as(field).isEqualTo("complete: ok");
         assertThat(outcome(send(server.address(), "b"))).as(field).isEqualTo("complete: ok");
       }
@@ -305,13 +295,9 @@
   void trailersAreSkipped() throws Exception {
     try (RawServer server =
         new RawServer(
-            socket -> {
-              RawServer.readHead(socket);
-              RawServer.write(
-                  socket,
-                  "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-                      + "2\r\nok\r\n0\r\nNot-Executed: 1\r\n\r\n");
-            })) {
+            response(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "2\r\nok\r\n0\r\nNot-Executed: 1\r\n\r\n"))) {
       assertThat(outcome(send(server.address(), "a"))).isEqualTo("complete: ok");
     }
   }
--- a/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
@@ -15,7 +15,6 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
-import org.bulrushpier.Finding;
 import org.bulrushpier.daemon.serve.Gateway;
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
 import org.bulrushpier.rig.gateway.ReplicaFake;
@@ -83,26 +82,13 @@
     for (int i = 0; i < 3; i++) {
       register("e" + i, "engines", engines);
     }
-    String text =
-        """
-        [gateway]
-        name = entry-1
-        domain = norte
-        caller-address = %s
-        ready-address = %s
-        metrics-address = %s
-        platform-address = %s
-        retry-minimum = 80
-        order-lease-ms = 300
-        """
-            .formatted(
-                FreePorts.next("127.0.0.1"),
-                FreePorts.next("127.0.0.1"),
-                FreePorts.next("127.0.0.1"),
-                metadataStore.address());
-    List<Finding> findings = new ArrayList<>();
-    settings = GatewaySettings.parse("test.ini", text, findings);
-    assertThat(findings).isEmpty();
+    settings =
+        GatewaySite.parse(
+            GatewaySite.settingsText(
+                "127.0.0.1",
+                metadataStore.address(),
+                "retry-minimum = 80",
+                "order-lease-ms = 300"));
     gateway = Gateway.start(settings);
     GatewaySite.await(this::isReady);
   }
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -20,7 +20,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.bulrushpier.Address;
-import org.bulrushpier.Finding;
 import org.bulrushpier.daemon.serve.Gateway;
 import org.bulrushpier.placing.CacheSalt;
 import org.bulrushpier.rig.gateway.CacheStoreFake;
@@ -82,29 +81,19 @@
   }
 
   private void start(long revocationMillis) throws Exception {
-    String text =
-        """
-        [gateway]
-        name = entry-1
-        domain = norte
-        caller-address = %s
-        ready-address = %s
-        metrics-address = %s
-        platform-address = %s
-        key-revocation-ms = %d
-        shutdown-seconds = 30
-        retry-minimum = 80
-        order-lease-ms = 300
-        """
-            .formatted(
-                FreePorts.next("127.0.0.1"),
-                FreePorts.next("127.0.0.1"),
-                FreePorts.next("127.0.0.1"),
+    start(revocationMillis, 30);
+  }
+
+  private void start(long revocationMillis, int shutdownSeconds) throws Exception {
+    settings =
+        GatewaySite.parse(
+            GatewaySite.settingsText(
+                "127.0.0.1",
                 metadataStore.address(),
-                revocationMillis);
-    List<Finding> findings = new ArrayList<>();
-    settings = GatewaySettings.parse("test.ini", text, findings);
-    assertThat(findings).isEmpty();
+                "key-revocation-ms = " + revocationMillis,
+                "shutdown-seconds = " + shutdownSeconds,
+                "retry-minimum = 80",
+                "order-lease-ms = 300"));
     gateway = Gateway.start(settings);
     await(this::isReady);
   }
@@ -385,9 +374,7 @@
   @Test
   void callThatOutlastsTheShutdownIsAnswered() throws Exception {
     gateway.stop();
-    settings = settingsWithShutdown(3_000);
-    gateway = Gateway.start(settings);
-    await(this::isReady);
+    start(5_000, 3);
     setBehaviour("plain", Behaviour.SILENT);
     CompletableFuture<HttpResponse<String>> call =
         client.sendAsync(
@@ -400,25 +387,6 @@
     assertThat(call).succeedsWithin(Duration.ofSeconds(10)).returns(502, HttpResponse::statusCode);
   }
 
-  private GatewaySettings settingsWithShutdown(long shutdownMillis) {
-    return new GatewaySettings(
-        settings.name(),
-        settings.domain(),
-        settings.callerAddress(),
-        settings.readyAddress(),
-        settings.metricsAddress(),
-        settings.platformAddress(),
-        settings.fleetAddress(),
-        settings.seeds(),
-        settings.keyRevocationMillis(),
-        shutdownMillis,
-        settings.retryRatio(),
-        settings.retryMinimum(),
-        settings.retryWindowMillis(),
-        settings.orderLeaseMillis(),
-        settings.weightsChangeMillis());
-  }
-
   /** The process ends as soon as the shutdown is over, whatever is under way. */
   @Test
   void callThatArrivesWhenShutdownIsOverIsRefusedAndNotPassedOn() throws Exception {
--- a/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import org.bulrushpier.Address;
 import org.bulrushpier.Finding;
 import org.bulrushpier.daemon.serve.Gateway;
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
@@ -166,7 +167,19 @@
   }
 
   private GatewaySettings settings(String host, int fleetPort) throws IOException {
-    String text =
+    return parse(
+        settingsText(
+            host,
+            metadataStore.address(),
+            "fleet-address = " + host + ":" + fleetPort,
+            "seeds = 127.0.0.1:" + fleetPort,
+            "order-lease-ms = 300",
+            "weights-change-ms = " + CHANGE_MILLIS));
+  }
+
+  /** Returns the settings file of an instance with new addresses and the given further lines. */
+  static String settingsText(String host, Address store, String... lines) throws IOException {
+    String format =
         """
         [gateway]
         name = entry-%s
@@ -175,21 +188,19 @@
         ready-address = %s
         metrics-address = %s
         platform-address = %s
-        fleet-address = %s:%d
-        seeds = 127.0.0.1:%d
-        order-lease-ms = 300
-        weights-change-ms = %d
-        """
-            .formatted(
-                host,
-                FreePorts.next(host),
-                FreePorts.next(host),
-                FreePorts.next(host),
-                metadataStore.address(),
-                host,
-                fleetPort,
-                fleetPort,
-                CHANGE_MILLIS);
+        %s
+        """;
+    return format.formatted(
+        host,
+        FreePorts.next(host),
+        FreePorts.next(host),
+        FreePorts.next(host),
+        store,
+        String.join("\n", lines));
+  }
+
+  /** Parses a settings file that must have no findings. */
+  static GatewaySettings parse(String text) {
     List<Finding> findings = new ArrayList<>();
     GatewaySettings settings = GatewaySettings.parse("test.ini", text, findings);
     if (!findings.isEmpty()) {
--- a/rig/src/test/java/org/bulrushpier/rig/SilentReplicaIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/SilentReplicaIntegrationTest.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.rig;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.bulrushpier.rig.GatewaySite.await;
 
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -11,8 +12,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import org.bulrushpier.Finding;
 import org.bulrushpier.daemon.serve.Gateway;
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
 import org.bulrushpier.rig.gateway.ReplicaFake;
@@ -60,26 +59,13 @@
     metadataStore = MetadataStoreFake.start();
     metadataStore.put("config", "main", CONFIGURATION);
     metadataStore.requestWeights(1);
-    String text =
-        """
-        [gateway]
-        name = entry-1
-        domain = norte
-        caller-address = %s
-        ready-address = %s
-        metrics-address = %s
-        platform-address = %s
-        retry-minimum = 400
-        weights-change-ms = 4000
-        """
-            .formatted(
-                FreePorts.next("127.0.0.1"),
-                FreePorts.next("127.0.0.1"),
-                FreePorts.next("127.0.0.1"),
-                metadataStore.address());
-    List<Finding> findings = new ArrayList<>();
-    settings = GatewaySettings.parse("test.ini", text, findings);
-    assertThat(findings).isEmpty();
+    settings =
+        GatewaySite.parse(
+            GatewaySite.settingsText(
+                "127.0.0.1",
+                metadataStore.address(),
+                "retry-minimum = 400",
+                "weights-change-ms = 4000"));
     gateway = Gateway.start(settings);
   }
 
@@ -113,24 +99,25 @@
     return replica;
   }
 
-  private static void await(BooleanSupplier condition) throws InterruptedException {
-    GatewaySite.await(condition);
+  private HttpRequest.Builder request(String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + settings.callerAddress() + path))
+        .timeout(Duration.ofSeconds(30))
+        .header("Deadline-Ms", "9000")
+        .POST(HttpRequest.BodyPublishers.ofString("body"));
+  }
+
+  private HttpRequest.Builder prompt(String path, String parts) {
+    return request(path)
+        .header("Model", "m0")
+        .header("Token-Usage", "100," + EVENTS)
+        .header("Prefix-Hash", parts);
   }
 
   /** Sends a request until a replica has executed it, as the gateway learns of replicas late. */
   private CompletableFuture<HttpResponse<String>> send(String path, ReplicaFake first)
       throws Exception {
     HttpRequest.Builder request =
-        HttpRequest.newBuilder(URI.create("http://" + settings.callerAddress() + path))
-            .timeout(Duration.ofSeconds(30))
-            .header("Deadline-Ms", "9000")
-            .POST(HttpRequest.BodyPublishers.ofString("body"));
-    if (path.startsWith("/stream")) {
-      request
-          .header("Model", "m0")
-          .header("Token-Usage", "100," + EVENTS)
-          .header("Prefix-Hash", "a1:80,b2:20");
-    }
+        path.startsWith("/stream") ? prompt(path, "a1:80,b2:20") : request(path);
     for (int i = 0; true; i++) {
       CompletableFuture<HttpResponse<String>> response =
           client.sendAsync(
@@ -361,14 +348,8 @@
     List<CompletableFuture<HttpResponse<String>>> prompts = new ArrayList<>();
     for (int i = 0; i < 5; i++) {
       HttpRequest prompt =
-          HttpRequest.newBuilder(URI.create("http://" + settings.callerAddress() + "/stream/b"))
-              .timeout(Duration.ofSeconds(30))
-              .header("Deadline-Ms", "9000")
+          prompt("/stream/b", "c" + i + ":80,d" + i + ":20")
               .header("Attempt-Id", "new" + i)
-              .header("Model", "m0")
-              .header("Token-Usage", "100," + EVENTS)
-              .header("Prefix-Hash", "c" + i + ":80,d" + i + ":20")
-              .POST(HttpRequest.BodyPublishers.ofString("body"))
               .build();
       prompts.add(client.sendAsync(prompt, HttpResponse.BodyHandlers.ofString()));
     }
--- a/rig/src/test/java/org/bulrushpier/rig/StalledGatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/StalledGatewayIntegrationTest.java
@@ -15,6 +15,7 @@
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
 import org.bulrushpier.rig.gateway.ReplicaFake;
 import org.bulrushpier.rig.site.Launcher;
+import org.bulrushpier.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -45,25 +46,14 @@
       engines.add(engine);
       metadataStore.register(engine, "engines");
     }
-    callerAddress = FreePorts.next("127.0.0.1");
-    Address readyAddress = FreePorts.next("127.0.0.1");
+    String text =
+        GatewaySite.settingsText("127.0.0.1", metadataStore.address(), "retry-minimum = 1000");
+    GatewaySettings parsed = GatewaySite.parse(text);
+    callerAddress = parsed.callerAddress();
     Path settings = launcher.directory().resolve(NAME + ".ini");
-    Files.writeString(
-        settings,
-        """
-        [gateway]
-        name = entry-1
-        domain = norte
-        caller-address = %s
-        ready-address = %s
-        metrics-address = %s
-        platform-address = %s
-        retry-minimum = 1000
-        """
-            .formatted(
-                callerAddress, readyAddress, FreePorts.next("127.0.0.1"), metadataStore.address()));
+    Files.writeString(settings, text);
     launcher.start(NAME, "org.bulrushpier.daemon.Main gateway --settings " + settings);
-    GatewaySite.await(() -> isReady(readyAddress));
+    GatewaySite.await(() -> isReady(parsed.readyAddress()));
   }
 
   @AfterEach
