--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -10,6 +10,7 @@
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.CallFormat;
 import org.bulrushpier.call.CallerRequest;
+import org.bulrushpier.call.PromptPart;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.call.UpstreamResponse;
 import org.bulrushpier.daemon.net.BoundedBuffer;
@@ -363,6 +364,14 @@
         context.weights().target(model), Moment.now(), context.settings().weightsChangeMillis());
   }
 
+  /** Returns the ids of the prompt parts that other requests may have too, for the log. */
+  private String sharedParts() {
+    return request
+        .prompt()
+        .map(prompt -> String.join(",", prompt.sharedParts().stream().map(PromptPart::id).toList()))
+        .orElse("");
+  }
+
   private String salt(int version) {
     String model = request.prompt().map(PromptShape::model).orElse("");
     return new CacheSalt(model, version, holder.isIsolated() ? holder.customer() : "").text();
@@ -1175,6 +1184,12 @@
               replica.entry().id(),
               "sent",
               outbound.isSent(),
+              "started",
+              inFlight.isStarted(),
+              "lastEvent",
+              lastEvent,
+              "sharedParts",
+              sharedParts(),
               "detail",
               detail);
       if (outbound.isSent()) {
--- a/library/src/main/java/org/bulrushpier/call/PromptShape.java
+++ b/library/src/main/java/org/bulrushpier/call/PromptShape.java
@@ -33,4 +33,12 @@
   public int totalTokens() {
     return inputTokens + expectedOutputTokens;
   }
+
+  /**
+   * Returns the parts that other prompts may have too: all but the last one, which belongs to the
+   * request or to its session.
+   */
+  public List<PromptPart> sharedParts() {
+    return parts.subList(0, Math.max(0, parts.size() - 1));
+  }
 }
