Tests: requests with one part in their prompts crash engine after engine

Two gateways as processes of the rig, 16 engines; five requests a second carry one part that makes an engine crash 50 ms after its first event, ten sound requests share all their other parts. Each crash costs the engine 2 s.

--- a/rig/src/main/java/org/bulrushpier/rig/gateway/RawHttpServer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/RawHttpServer.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -24,8 +25,10 @@
 
   private static final int BACKLOG = 200;
 
-  private final ServerSocket listener;
   private final Handler handler;
+  private final Address address;
+  private volatile ServerSocket listener;
+  private volatile boolean isClosed;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
   /** Handles requests. */
@@ -66,18 +69,26 @@
 
   RawHttpServer(Handler handler) throws IOException {
     this.handler = handler;
-    listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
-    Thread.ofVirtual().start(this::accept);
+    listener = listen(0);
+    address = new Address("127.0.0.1", listener.getLocalPort());
+  }
+
+  private ServerSocket listen(int port) throws IOException {
+    ServerSocket opened = new ServerSocket();
+    opened.setReuseAddress(true);
+    opened.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), BACKLOG);
+    Thread.ofVirtual().start(() -> accept(opened));
+    return opened;
   }
 
   Address address() {
-    return new Address("127.0.0.1", listener.getLocalPort());
+    return address;
   }
 
-  private void accept() {
-    while (!listener.isClosed()) {
+  private void accept(ServerSocket from) {
+    while (!from.isClosed()) {
       try {
-        Socket socket = listener.accept();
+        Socket socket = from.accept();
         sockets.add(socket);
         Thread.ofVirtual().start(() -> serve(socket));
       } catch (IOException e) {
@@ -181,8 +192,22 @@
     }
   }
 
+  /** Stops listening and closes all open connections, as a crash of the process would. */
+  void crash() throws IOException {
+    listener.close();
+    dropConnections();
+  }
+
+  /** Listens again after a crash. */
+  synchronized void restart() throws IOException {
+    if (!isClosed) {
+      listener = listen(address.port());
+    }
+  }
+
   @Override
-  public void close() throws IOException {
+  public synchronized void close() throws IOException {
+    isClosed = true;
     listener.close();
     dropConnections();
   }
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -91,6 +92,22 @@
    */
   public record Silence(int afterEvent, long millis) {}
 
+  /**
+   * A prompt part that makes the replica crash shortly after the first event of a generation that
+   * has it. Immutable and thread-safe.
+   *
+   * @param part the id of the part, or empty if there is none
+   * @param awayMillis the time after which the replica is back as another incarnation, in
+   *     milliseconds
+   */
+  public record Poison(String part, long awayMillis) {
+    private boolean isIn(RawHttpServer.Request request) {
+      return !part.isEmpty()
+          && Arrays.stream(request.header("prefix-hash").split(","))
+              .anyMatch(entry -> entry.startsWith(part + ":"));
+    }
+  }
+
   /** The number of events in a complete stream of a request that does not state its output. */
   public static final int EVENTS = 5;
 
@@ -99,6 +116,9 @@
   private static final int CONFLICT = 409;
   private static final long POLL_MILLIS = 10;
 
+  /** The time from the first event of a generation to the crash that it causes, in ms. */
+  private static final long CRASH_DELAY_MILLIS = 50;
+
   private final ObjectMapper json = new ObjectMapper();
   private final String id;
   private final int slots;
@@ -123,6 +143,9 @@
   private int running;
   private int version = 1;
   private long bornMillis = 1_700_000_000_000L;
+  private Poison poison = new Poison("", 0);
+  private boolean isAway;
+  private final List<Long> crashMillis = new ArrayList<>();
 
   /**
    * An executed request.
@@ -315,6 +338,65 @@
     ordersDelayedUntilMillis = MonotonicClock.millis() + millis;
   }
 
+  /**
+   * Changes the prompt part that makes the replica crash.
+   *
+   * @param next the part
+   */
+  public synchronized void setPoison(Poison next) {
+    poison = next;
+  }
+
+  private synchronized Poison poison() {
+    return poison;
+  }
+
+  /**
+   * Closes all connections and refuses new ones for some time, after which the replica is back as
+   * another incarnation. Does nothing if it is already away.
+   *
+   * @param awayMillis the time, in milliseconds
+   * @throws IOException if the listen socket cannot be closed
+   */
+  public void crash(long awayMillis) throws IOException {
+    synchronized (this) {
+      if (isAway) {
+        return;
+      }
+      isAway = true;
+      crashMillis.add(MonotonicClock.millis());
+    }
+    server.crash();
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              Faults.sleep(awayMillis);
+              comeBack();
+            });
+  }
+
+  private void comeBack() {
+    try {
+      beginIncarnation();
+      server.restart();
+    } catch (IOException e) {
+      throw new IllegalStateException("replica " + id + " could not listen again", e);
+    } finally {
+      synchronized (this) {
+        isAway = false;
+      }
+    }
+  }
+
+  /**
+   * Returns the times of all crashes.
+   *
+   * @return monotonic times in milliseconds
+   */
+  public synchronized List<Long> crashMillis() {
+    return List.copyOf(crashMillis);
+  }
+
   /** Closes all open connections, as a crash of the process would. */
   public void dropConnections() {
     server.dropConnections();
@@ -660,6 +742,11 @@
       if (!keepSilence(event, socket)) {
         return false;
       }
+      if (poison().isIn(request)) {
+        Faults.sleep(CRASH_DELAY_MILLIS);
+        crash(poison().awayMillis());
+        return false;
+      }
       if (current == Behaviour.HOLD_STREAM && event == firstEvent) {
         awaitRelease();
       }
--- a/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.rig;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -8,9 +9,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.bulrushpier.Address;
 import org.bulrushpier.Finding;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.daemon.serve.Gateway;
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
 import org.bulrushpier.rig.gateway.ReplicaFake;
@@ -28,6 +33,8 @@
   /** More engines than change their weights at the same time. */
   private static final int ENGINES = 6;
 
+  private static final long REGISTRATION_MILLIS = 100;
+
   private static final String CONFIGURATION =
       """
       {"version":1,"routes":[
@@ -46,7 +53,16 @@
   private final MetadataStoreFake metadataStore;
   private final List<ReplicaFake> engines = new ArrayList<>();
   private final List<Instance> instances = new ArrayList<>();
-  private int lastId;
+  private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
+  private final List<Thread> threads = new ArrayList<>();
+  private final AtomicInteger lastId = new AtomicInteger();
+
+  /** A generation that an engine began to execute at a monotonic time in milliseconds. */
+  record Arrival(long millis, ReplicaFake.Execution execution) {
+    boolean hasPart(String part) {
+      return execution.headers().getOrDefault("prefix-hash", "").contains(part + ":");
+    }
+  }
 
   /** An instance of the gateway, which can be stopped and started again with the same addresses. */
   final class Instance {
@@ -75,21 +91,26 @@
 
     /** Sends a generation and returns the status of the response. */
     int generate() {
-      return status(generation());
+      return status(generation("a1:80,b2:20"));
     }
 
-    private HttpRequest.Builder generation() {
+    /** Sends a generation and returns the response, also one that ends early. */
+    CompletableFuture<HttpResponse<InputStream>> generate(String parts) {
+      return client.sendAsync(generation(parts).build(), HttpResponse.BodyHandlers.ofInputStream());
+    }
+
+    private HttpRequest.Builder generation(String parts) {
       return requestWithoutPrompt()
           .header("Model", "m0")
-          .header("Token-Usage", "100,5")
-          .header("Prefix-Hash", "a1:80,b2:20");
+          .header("Token-Usage", "100," + ReplicaFake.EVENTS)
+          .header("Prefix-Hash", parts);
     }
 
     /** Returns a request to the engines that does not describe its prompt. */
     HttpRequest.Builder requestWithoutPrompt() {
       return HttpRequest.newBuilder(URI.create("http://" + settings.callerAddress() + "/stream/a"))
           .timeout(Duration.ofSeconds(30))
-          .header("Attempt-Id", "id" + ++lastId)
+          .header("Attempt-Id", "id" + lastId.incrementAndGet())
           .header("Deadline-Ms", "20000")
           .header("Authorization", "Bearer key")
           .POST(HttpRequest.BodyPublishers.ofString("prompt"));
@@ -121,17 +142,52 @@
 
   /** Starts the fakes; the engines serve version 1 of the model m0. */
   static GatewaySite start() throws IOException {
+    return start(ENGINES);
+  }
+
+  /** Starts the fakes with a number of engines that serve version 1 of the model m0. */
+  static GatewaySite start(int engines) throws IOException {
     GatewaySite site = new GatewaySite();
     site.metadataStore.put("config", "main", CONFIGURATION);
     site.metadataStore.put("versions", "m0", "{\"model\":\"m0\",\"version\":1}");
-    for (int i = 0; i < ENGINES; i++) {
-      ReplicaFake engine = ReplicaFake.start("e" + i);
+    for (int i = 0; i < engines; i++) {
+      ReplicaFake engine = ReplicaFake.start("e" + i, Integer.MAX_VALUE, site::recordArrival);
       site.engines.add(engine);
       site.metadataStore.put("servers", "e" + i, engine.entry("engines", "ready"));
     }
     return site;
   }
 
+  private void recordArrival(ReplicaFake.Execution execution) {
+    arrivals.add(new Arrival(MonotonicClock.millis(), execution));
+  }
+
+  /** Returns the generations that engines have begun to execute so far. */
+  List<Arrival> arrivals() {
+    return List.copyOf(arrivals);
+  }
+
+  /** Registers engines again whenever they have come back as another incarnation. */
+  void keepRegistered() {
+    threads.add(
+        Thread.ofVirtual()
+            .start(
+                () -> {
+                  while (!Thread.currentThread().isInterrupted()) {
+                    engines.forEach(this::register);
+                    Faults.sleep(REGISTRATION_MILLIS);
+                  }
+                }));
+  }
+
+  private void register(ReplicaFake engine) {
+    try {
+      metadataStore.register(engine, "engines");
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   MetadataStoreFake metadataStore() {
     return metadataStore;
   }
@@ -157,7 +213,7 @@
   List<Instance> startInstances(int count) throws Exception {
     int port = FreePorts.next("127.0.0.1").port();
     for (int i = 1; i <= count; i++) {
-      instances.add(new Instance(settings("127.0.0." + i, port)));
+      instances.add(new Instance(settings("127.0.0." + i, port, "127.0.0.1")));
     }
     for (Instance instance : instances) {
       instance.awaitReady();
@@ -166,13 +222,25 @@
     return List.copyOf(instances);
   }
 
-  private GatewaySettings settings(String host, int fleetPort) throws IOException {
+  /** Starts two instances that reach the store but not each other. */
+  List<Instance> startInstancesThatAreCutOff() throws Exception {
+    int port = FreePorts.next("127.0.0.1").port();
+    for (int i = 1; i <= 2; i++) {
+      instances.add(new Instance(settings("127.0.0." + i, port, "127.0.0.3")));
+    }
+    for (Instance instance : instances) {
+      instance.awaitReady();
+    }
+    return List.copyOf(instances);
+  }
+
+  private GatewaySettings settings(String host, int fleetPort, String seed) throws IOException {
     return parse(
         settingsText(
             host,
             metadataStore.address(),
             "fleet-address = " + host + ":" + fleetPort,
-            "seeds = 127.0.0.1:" + fleetPort,
+            "seeds = " + seed + ":" + fleetPort,
             "order-lease-ms = 300",
             "weights-change-ms = " + CHANGE_MILLIS));
   }
@@ -237,6 +305,7 @@
 
   @Override
   public void close() throws IOException {
+    threads.forEach(Thread::interrupt);
     for (Instance instance : instances) {
       instance.gateway.stop();
     }
