--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -21,13 +21,11 @@
 import org.bulrushpier.daemon.net.ResponseHead;
 import org.bulrushpier.placing.AttemptRace;
 import org.bulrushpier.placing.CachePlanner;
-import org.bulrushpier.placing.CacheSalt;
 import org.bulrushpier.placing.CallerPatience;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.ResponseTimeout;
 import org.bulrushpier.replica.Replica;
-import org.bulrushpier.rollout.WeightPreference;
 import org.bulrushpier.site.Configuration;
 import org.bulrushpier.site.ConfiguredRoute;
 import org.bulrushpier.site.KeyHolder;
@@ -64,9 +62,6 @@
    */
   private static final long NON_REPEATABLE_MAX_IDLE_MILLIS = 2_000;
 
-  /** The lowest priority that engines distinguish; configured ones beyond it are equal to it. */
-  private static final int MAX_PRIORITY = 9;
-
   /** Number of failed connection attempts after which the request is given up. */
   private static final int MAX_CONNECT_FAILURES = 3;
 
@@ -93,7 +88,7 @@
 
   private ConfiguredRoute route;
   private KeyHolder holder = KeyHolder.ANONYMOUS;
-  private String service = "";
+  private ReplicaSelection selection;
   private long deadlineMillis;
   private final AttemptRace<Attempt> race = new AttemptRace<>();
   private Attempt failedAnswer;
@@ -180,7 +175,8 @@
       }
       holder = held.get();
     }
-    service = route.service(ThreadLocalRandom.current().nextDouble());
+    String service = route.service(ThreadLocalRandom.current().nextDouble());
+    selection = new ReplicaSelection(context, request.prompt(), route, holder, service);
     lastEvent = request.lastEventId();
     context.retryBudget(service).recordFirstAttempt(arrivedMillis);
     place();
@@ -202,9 +198,9 @@
     if (!race.isEmpty()) {
       return;
     }
-    if (request.prompt().isEmpty() || attempts > 0 || !queue().isAhead(priority())) {
+    if (request.prompt().isEmpty() || attempts > 0 || !queue().isAhead(selection.priority())) {
       tryPlace();
-    } else if (queue().isFull(priority(), route.goalMillis(), MonotonicClock.millis())) {
+    } else if (queue().isFull(selection.priority(), route.goalMillis(), MonotonicClock.millis())) {
       refuseOverloaded("too many other requests wait for an engine");
     } else {
       await(new Placement.Wait("other requests wait for an engine"));
@@ -212,17 +208,13 @@
   }
 
   private PlacementQueue<Exchange> queue() {
-    return context.placementQueue(service);
-  }
-
-  private int priority() {
-    return Math.clamp(holder.effectivePriority(route), 0, MAX_PRIORITY);
+    return context.placementQueue(selection.service());
   }
 
   /** Waits for an engine. */
   private void await(Placement.Wait placement) {
     if (wait == null) {
-      queue().add(this, priority(), route.goalMillis(), MonotonicClock.millis());
+      queue().add(this, selection.priority(), route.goalMillis(), MonotonicClock.millis());
     }
     wait = placement;
   }
@@ -291,11 +283,11 @@
       return;
     }
     long now = MonotonicClock.millis();
-    Placement placement = choose(triedReplicas, remaining, now);
+    Placement placement = selection.choose(triedReplicas, remaining, now);
     if (placement instanceof Placement.Refuse && !lostReplicas.isEmpty()) {
       Set<String> excluded = new HashSet<>(triedReplicas);
       excluded.removeAll(lostReplicas);
-      placement = choose(excluded, remaining, now);
+      placement = selection.choose(excluded, remaining, now);
     }
     switch (placement) {
       case Placement.Send send -> {
@@ -313,57 +305,6 @@
     }
   }
 
-  private Placement choose(Set<String> excluded, long remaining, long now) {
-    Optional<Service> target =
-        context.configuration().configuration().flatMap(c -> c.service(service));
-    List<Replica> usable =
-        context.replicas().replicasOf(service).stream().filter(r -> r.isUsable(now)).toList();
-    return target.isPresent() && target.get() instanceof Service.Engines engines
-        ? placeOnEngine(engines, usable, excluded, remaining, now)
-        : context.plainPlacement().choose(usable, excluded, now);
-  }
-
-  private Placement placeOnEngine(
-      Service.Engines engines,
-      List<Replica> usable,
-      Set<String> excluded,
-      long remaining,
-      long now) {
-    if (!context.weights().isListed()) {
-      return new Placement.Refuse(
-          "the requested weights are not known yet", UNCONFIGURED_RETRY_MILLIS);
-    }
-    if (request.prompt().isEmpty()) {
-      List<Replica> allowed = usable.stream().filter(this::isEveryVersionAllowed).toList();
-      return context.plainPlacement().choose(allowed, excluded, now);
-    }
-    PromptShape prompt = request.prompt().get();
-    return context
-        .enginePlacement()
-        .choose(
-            prompt,
-            this::salt,
-            engines,
-            usable,
-            weightPreference(prompt.model()),
-            context.cacheStores(),
-            excluded,
-            priority(),
-            route.goalMillis(),
-            remaining,
-            now);
-  }
-
-  private boolean isEveryVersionAllowed(Replica engine) {
-    return engine.entry().weightVersions().keySet().stream()
-        .allMatch(model -> weightPreference(model).allows(engine.version(model), 0));
-  }
-
-  private WeightPreference weightPreference(String model) {
-    return WeightPreference.of(
-        context.weights().target(model), Moment.now(), context.settings().weightsChangeMillis());
-  }
-
   /** Returns the ids of the prompt parts that other requests may have too, for the log. */
   private String sharedParts() {
     return request
@@ -372,11 +313,6 @@
         .orElse("");
   }
 
-  private String salt(int version) {
-    String model = request.prompt().map(PromptShape::model).orElse("");
-    return new CacheSalt(model, version, holder.isIsolated() ? holder.customer() : "").text();
-  }
-
   private void send(Placement.Send placement, long remaining) {
     Attempt attempt = new Attempt(placement.replica(), placement);
     race.begin(attempt);
@@ -433,15 +369,15 @@
     long unsent = silent.stream().filter(attempt -> !attempt.outbound.isSent()).count();
     if (nowMillis < nextPlacementMillis
         || !mayRetry(attempts + unsent)
-        || !context.retryBudget(service).mayRetry(nowMillis)) {
+        || !context.retryBudget(selection.service()).mayRetry(nowMillis)) {
       return;
     }
     nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS;
     Set<String> excluded = new HashSet<>(triedReplicas);
     silent.forEach(attempt -> excluded.add(attempt.replica.entry().id()));
     long remaining = remainingMillis();
-    if (choose(excluded, remaining, nowMillis) instanceof Placement.Send other
-        && context.retryBudget(service).tryRetry(nowMillis)) {
+    if (selection.choose(excluded, remaining, nowMillis) instanceof Placement.Send other
+        && context.retryBudget(selection.service()).tryRetry(nowMillis)) {
       silent.forEach(attempt -> attempt.logSilence(other.replica(), nowMillis));
       send(other, remaining);
     }
@@ -449,7 +385,8 @@
 
   /** Returns whether the request may be sent again, and takes a retry from the budget if so. */
   private boolean tryAcquireRetry() {
-    return mayRetry(attempts) && context.retryBudget(service).tryRetry(MonotonicClock.millis());
+    return mayRetry(attempts)
+        && context.retryBudget(selection.service()).tryRetry(MonotonicClock.millis());
   }
 
   private boolean mayRetry(long sends) {
@@ -642,13 +579,13 @@
     void start(long remaining, long maxIdle) {
       Optional<PromptShape> prompt = request.prompt();
       weightVersion = prompt.map(p -> replica.version(p.model())).orElse(0);
-      final String salt = prompt.isPresent() ? salt(weightVersion) : "";
+      final String salt = prompt.isPresent() ? selection.salt(weightVersion) : "";
       int uncached = placement.cache().prefillTokens();
       long now = MonotonicClock.millis();
       long overdue = now + 2 * Math.max(placement.expectedMillis(), route.goalMillis());
       inFlight =
           new Replica.InFlightRequest(
-              priority(),
+              selection.priority(),
               uncached,
               prompt.map(p -> p.totalTokens()).orElse(0),
               placement.cache().transferMillis(),
@@ -669,7 +606,7 @@
                   holder.customer(),
                   remaining,
                   lastEvent,
-                  prompt.isPresent() ? priority() : -1,
+                  prompt.isPresent() ? selection.priority() : -1,
                   salt,
                   weightVersion,
                   placement.cache().sources(),
@@ -718,7 +655,7 @@
       }
       String model = request.prompt().get().model();
       return weightVersion < context.weights().target(model).version()
-          && weightPreference(model).isExpired(weightVersion);
+          && selection.weightPreference(model).isExpired(weightVersion);
     }
 
     /** Cancels the request at its engine and sends it to another one if that is allowed. */
@@ -748,7 +685,8 @@
           .prompt()
           .map(
               prompt ->
-                  weightPreference(prompt.model())
+                  selection
+                      .weightPreference(prompt.model())
                       .allows(weightVersion, placement.expectedMillis()))
           .orElse(true);
     }
@@ -757,7 +695,7 @@
     private long outdatedMillis() {
       return request
           .prompt()
-          .map(prompt -> weightPreference(prompt.model()).outdatedMillis(weightVersion))
+          .map(prompt -> selection.weightPreference(prompt.model()).outdatedMillis(weightVersion))
           .orElse(0L);
     }
 
@@ -783,7 +721,7 @@
       return context
           .configuration()
           .configuration()
-          .flatMap(c -> c.service(service))
+          .flatMap(c -> c.service(selection.service()))
           .map(s -> s instanceof Service.Engines engines ? engines.memoryTokens() : 0L)
           .orElse(0L);
     }
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -0,0 +1,121 @@
+package org.bulrushpier.daemon.serve;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.bulrushpier.Moment;
+import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.placing.CacheSalt;
+import org.bulrushpier.placing.Placement;
+import org.bulrushpier.replica.Replica;
+import org.bulrushpier.rollout.WeightPreference;
+import org.bulrushpier.site.ConfiguredRoute;
+import org.bulrushpier.site.KeyHolder;
+import org.bulrushpier.site.Service;
+
+/**
+ * Selects a replica for one request.
+ *
+ * <p>Guarded by the loop's lock.
+ */
+final class ReplicaSelection {
+
+  /** The lowest priority that engines distinguish; configured ones beyond it are equal to it. */
+  private static final int MAX_PRIORITY = 9;
+
+  /** Retry delay for callers while the requested weights are not known, in milliseconds. */
+  private static final long UNCONFIGURED_RETRY_MILLIS = 300;
+
+  private final GatewayContext context;
+  private final Optional<PromptShape> prompt;
+  private final ConfiguredRoute route;
+  private final KeyHolder holder;
+  private final String service;
+
+  ReplicaSelection(
+      GatewayContext context,
+      Optional<PromptShape> prompt,
+      ConfiguredRoute route,
+      KeyHolder holder,
+      String service) {
+    this.context = context;
+    this.prompt = prompt;
+    this.route = route;
+    this.holder = holder;
+    this.service = service;
+  }
+
+  /** Returns the name of the service whose replicas are selected. */
+  String service() {
+    return service;
+  }
+
+  /** Returns the priority of the request, 0 being the most urgent. */
+  int priority() {
+    return Math.clamp(holder.effectivePriority(route), 0, MAX_PRIORITY);
+  }
+
+  /**
+   * Selects a replica.
+   *
+   * @param excluded the ids of replicas that must not be selected
+   * @param remaining the time until the deadline, in milliseconds
+   * @param now the current monotonic time, in milliseconds
+   */
+  Placement choose(Set<String> excluded, long remaining, long now) {
+    Optional<Service> target =
+        context.configuration().configuration().flatMap(c -> c.service(service));
+    List<Replica> usable =
+        context.replicas().replicasOf(service).stream().filter(r -> r.isUsable(now)).toList();
+    return target.isPresent() && target.get() instanceof Service.Engines engines
+        ? placeOnEngine(engines, usable, excluded, remaining, now)
+        : context.plainPlacement().choose(usable, excluded, now);
+  }
+
+  private Placement placeOnEngine(
+      Service.Engines engines,
+      List<Replica> usable,
+      Set<String> excluded,
+      long remaining,
+      long now) {
+    if (!context.weights().isListed()) {
+      return new Placement.Refuse(
+          "the requested weights are not known yet", UNCONFIGURED_RETRY_MILLIS);
+    }
+    if (prompt.isEmpty()) {
+      List<Replica> allowed = usable.stream().filter(this::isEveryVersionAllowed).toList();
+      return context.plainPlacement().choose(allowed, excluded, now);
+    }
+    return context
+        .enginePlacement()
+        .choose(
+            prompt.get(),
+            this::salt,
+            engines,
+            usable,
+            weightPreference(prompt.get().model()),
+            context.cacheStores(),
+            excluded,
+            priority(),
+            route.goalMillis(),
+            remaining,
+            now);
+  }
+
+  private boolean isEveryVersionAllowed(Replica engine) {
+    return engine.entry().weightVersions().keySet().stream()
+        .allMatch(model -> weightPreference(model).allows(engine.version(model), 0));
+  }
+
+  /** Returns the preference for new weights of a model at this moment. */
+  WeightPreference weightPreference(String model) {
+    return WeightPreference.of(
+        context.weights().target(model), Moment.now(), context.settings().weightsChangeMillis());
+  }
+
+  /** Returns the salt of the cache keys of the request's parts under a version of the weights. */
+  String salt(int version) {
+    String model = prompt.map(PromptShape::model).orElse("");
+    return new CacheSalt(model, version, holder.isIsolated() ? holder.customer() : "").text();
+  }
+}
