Requests with a prompt part that crashes engines are refused by all instances

What callers saw: engines ended one after the other, and with each of them up to 36 answers of other requests.

Cause: a crash was counted for the engine, which was gone, and never for what it had been running. Each new request with the part, at any instance, and each repeat of it was placed as if nothing had happened.

Change: instances note under which shared prompt parts an engine ended (all its connections at once, nothing from it for 150 ms) and which parts were in whole answers, tell each other both by datagrams and, where one of them isn't heard from, through an object of their own in the store, and each infers the part that explains the crashes: from the third crash on, or the fifth if others were at all of them too. Its requests are refused at once; those that wait at an engine are withdrawn; none is sent once more, beside a silent one or as a continuation. A stream whose part is still uncertain waits up to 1 s before it is continued. After 30 s one request is a trial; a whole answer at any time clears the part.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
@@ -162,6 +162,7 @@
     if (request == null) {
       return;
     }
+    request.listener().disconnected();
     if (!isReset) {
       parser.atEOF();
       parser.parseNext(ByteBuffer.allocate(0));
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
@@ -54,6 +54,12 @@
     /** The response is complete. */
     void completed();
 
+    /**
+     * The peer has closed or reset the connection. Followed by {@link #failed} unless the response
+     * was complete with the end of the connection.
+     */
+    default void disconnected() {}
+
     /**
      * The response failed before it was complete.
      *
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -10,7 +10,6 @@
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.CallFormat;
 import org.bulrushpier.call.CallerRequest;
-import org.bulrushpier.call.PromptPart;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.call.UpstreamResponse;
 import org.bulrushpier.daemon.net.BoundedBuffer;
@@ -25,6 +24,7 @@
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.ResponseTimeout;
+import org.bulrushpier.poison.PartAdmission.Barred;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.site.Configuration;
 import org.bulrushpier.site.ConfiguredRoute;
@@ -78,6 +78,7 @@
   private final CallerConnection caller;
   private final InboundRequest inbound;
   private final CallerRequest request;
+  private final RequestParts parts;
   private final long arrivedMillis = MonotonicClock.millis();
 
   /** Replicas to which the request was sent, or which could not be reached. */
@@ -116,6 +117,7 @@
     this.caller = caller;
     this.inbound = inbound;
     this.request = request;
+    this.parts = new RequestParts(context.poison(), request.prompt());
   }
 
   /** Begins the request, which is given up if that fails because of an error of this process. */
@@ -178,6 +180,11 @@
     String service = route.service(ThreadLocalRandom.current().nextDouble());
     selection = new ReplicaSelection(context, request.prompt(), route, holder, service);
     lastEvent = request.lastEventId();
+    Optional<Barred> barred = parts.admit();
+    if (barred.isPresent()) {
+      refuse(barred.get().reason(), barred.get().retryAfterMillis());
+      return;
+    }
     context.retryBudget(service).recordFirstAttempt(arrivedMillis);
     place();
   }
@@ -282,7 +289,16 @@
       giveUp("no time left");
       return;
     }
+    Optional<Barred> barred = parts.check(attempts);
+    if (barred.isPresent()) {
+      giveUp(barred.get().reason(), barred.get().retryAfterMillis());
+      return;
+    }
     long now = MonotonicClock.millis();
+    if (isStreaming && parts.isBeingClarified(now)) {
+      awaitContinuation("a part of the prompt may have crashed the engine", now);
+      return;
+    }
     Placement placement = selection.choose(triedReplicas, remaining, now);
     if (placement instanceof Placement.Refuse && !lostReplicas.isEmpty()) {
       Set<String> excluded = new HashSet<>(triedReplicas);
@@ -305,14 +321,6 @@
     }
   }
 
-  /** Returns the ids of the prompt parts that other requests may have too, for the log. */
-  private String sharedParts() {
-    return request
-        .prompt()
-        .map(prompt -> String.join(",", prompt.sharedParts().stream().map(PromptPart::id).toList()))
-        .orElse("");
-  }
-
   private void send(Placement.Send placement, long remaining) {
     Attempt attempt = new Attempt(placement.replica(), placement);
     race.begin(attempt);
@@ -362,7 +370,7 @@
   /** Sends the request to another replica as well if all that have it are silent. */
   private void placeBesideSilent(long nowMillis) {
     List<Attempt> silent = race.running();
-    if (!silent.stream().allMatch(attempt -> attempt.isSilent(nowMillis))) {
+    if (!silent.stream().allMatch(attempt -> attempt.isSilent(nowMillis)) || parts.isUncertain()) {
       return;
     }
     silent.forEach(attempt -> attempt.avoidReplica(nowMillis));
@@ -383,6 +391,17 @@
     }
   }
 
+  /** Withdraws the request from engines that have not begun it if a part of it is barred now. */
+  void withdrawIfBarred() {
+    if (isDone || route == null) {
+      return;
+    }
+    Optional<Barred> barred = parts.check(attempts);
+    if (barred.isPresent() && race.running().stream().noneMatch(Attempt::isStarted)) {
+      giveUp(barred.get().reason(), barred.get().retryAfterMillis());
+    }
+  }
+
   /** Returns whether the request may be sent again, and takes a retry from the budget if so. */
   private boolean tryAcquireRetry() {
     return mayRetry(attempts)
@@ -569,6 +588,7 @@
     private boolean isForwardingEvents;
     private boolean isContinuation;
     private boolean hasForwardedEvents;
+    private boolean isDisconnected;
     private boolean isEnded;
 
     Attempt(Replica replica, Placement.Send placement) {
@@ -648,6 +668,10 @@
       context.upstreamPool().send(replica.entry().address(), outbound, maxIdle);
     }
 
+    private boolean isStarted() {
+      return inFlight.isStarted();
+    }
+
     /** Returns whether the request waits at an engine whose weights must no longer be used. */
     private boolean isExpired() {
       if (inFlight.isStarted() || request.prompt().isEmpty()) {
@@ -860,7 +884,7 @@
 
     @Override
     public boolean isObsolete() {
-      return remainingMillis() <= 0 || !isVersionAllowed();
+      return remainingMillis() <= 0 || !isVersionAllowed() || parts.check(attempts).isPresent();
     }
 
     @Override
@@ -1078,6 +1102,9 @@
     }
 
     private void finishAnswered() {
+      if (response.isSuccess()) {
+        parts.answered();
+      }
       context
           .log()
           .event(
@@ -1098,6 +1125,11 @@
       finish("answered");
     }
 
+    @Override
+    public void disconnected() {
+      isDisconnected = true;
+    }
+
     @Override
     public void failed(String detail) {
       if (isEnded) {
@@ -1127,9 +1159,12 @@
               "lastEvent",
               lastEvent,
               "sharedParts",
-              sharedParts(),
+              parts,
               "detail",
               detail);
+      if (isDisconnected && response != null && response.isSuccess()) {
+        parts.answerBrokeOff(replica, MonotonicClock.millis());
+      }
       if (outbound.isSent()) {
         mayHaveRun = true;
         responseLost(detail);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -22,11 +22,12 @@
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.fleet.WeightAge;
+import org.bulrushpier.poison.CrashKnowledge;
 import org.bulrushpier.replica.Replica;
 
 /**
- * Exchanges load reports, lists of instances and the ages of requested weight versions with the
- * other instances of the site.
+ * Exchanges load reports, lists of instances, the ages of requested weight versions and crashes of
+ * engines with the other instances of the site.
  *
  * <p>Uses datagrams: a report is obsolete after a fraction of a second, so a lost one is not worth
  * a retransmission, and an unreachable instance cannot hold up the others. The interval grows with
@@ -64,6 +65,7 @@
   private final EventLog log;
   private final Membership membership;
   private final PeerLoads peerLoads;
+  private final CrashGossip gossip = new CrashGossip();
   private final DatagramChannel channel;
   private final long startMillis = System.currentTimeMillis();
   private long sequence;
@@ -94,6 +96,7 @@
     channel.bind(new InetSocketAddress(address.host(), address.port()));
     FleetExchange exchange =
         new FleetExchange(context, Membership.of(address, context.settings().seeds()), channel);
+    context.poison().turn(exchange::turn);
     Thread receiver = new Thread(exchange::receiveAll, "fleet");
     receiver.setDaemon(true);
     receiver.start();
@@ -120,6 +123,27 @@
     reportLoad(nowMillis);
     exchangeMembers(nowMillis);
     askForWeights(nowMillis);
+    List<Address> contacts = membership.contacts(nowMillis);
+    gossip.receivers(context.poison().changes(), contacts, nowMillis).forEach(this::tellCrashes);
+  }
+
+  /** Returns whether all instances of which this one knows are heard from. */
+  boolean isComplete(long nowMillis) {
+    return membership.isComplete(nowMillis);
+  }
+
+  /**
+   * Returns the number of live instances that come before this one in an order that varies by key.
+   */
+  private int turn(String key) {
+    return membership.turn(key, MonotonicClock.millis());
+  }
+
+  private void tellCrashes(Address to) {
+    CrashKnowledge knowledge = context.poison().knowledge();
+    if (!knowledge.isEmpty()) {
+      send(to, Codec.messagePack().write(new FleetMessage.Crashes(knowledge)));
+    }
   }
 
   private void reportLoad(long nowMillis) {
@@ -142,7 +166,11 @@
       membership.expire(nowMillis);
       membership
           .nextPartner(ThreadLocalRandom.current())
-          .ifPresent(partner -> sendMembers(partner, true, nowMillis));
+          .ifPresent(
+              partner -> {
+                sendMembers(partner, true, nowMillis);
+                tellCrashes(partner);
+              });
       if (instances != loggedInstances) {
         log.event("fleet", "instances", instances, "before", loggedInstances);
         loggedInstances = instances;
@@ -257,6 +285,7 @@
         members.addresses().forEach(address -> learned(sender, address, now));
         if (members.isReplyExpected()) {
           sendMembers(sender, false, now);
+          tellCrashes(sender);
         }
       }
       case FleetMessage.WeightQuestion question ->
@@ -264,6 +293,13 @@
               sender,
               Codec.messagePack().write(context.weightInquiry().answer(question, Moment.now())));
       case FleetMessage.WeightAnswer answer -> weightsTold(sender, answer);
+      case FleetMessage.Crashes crashes -> {
+        if (crashes.knowledge() != null && crashes.knowledge().isPlausible()) {
+          context.poison().learn(crashes.knowledge());
+        } else {
+          ignored(sender, "implausible crashes");
+        }
+      }
     }
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -64,6 +64,9 @@
   /** The lease lists the engines that are changing; stale data only delays requests at those. */
   private static final StoreWatch.Timing LEASE_TIMING = new StoreWatch.Timing(3_000, 150);
 
+  /** Crashes are told through the store only where instances cannot reach each other. */
+  private static final StoreWatch.Timing CRASH_TIMING = new StoreWatch.Timing(5_000, 50);
+
   private static final long SHUTDOWN_POLL_MILLIS = 50;
 
   /**
@@ -79,6 +82,7 @@
   private final Set<String> overloaded = new HashSet<>();
   private final RolloutCoordinator rollouts;
   private final CacheStorePoller cacheStorePoller;
+  private final CrashReportStore crashReports;
   private FleetExchange fleet;
   private boolean isShuttingDown;
   private boolean isStopping;
@@ -90,6 +94,7 @@
     context = new GatewayContext(loop, () -> this.settings);
     rollouts = new RolloutCoordinator(context);
     cacheStorePoller = new CacheStorePoller(context);
+    crashReports = new CrashReportStore(context);
   }
 
   /**
@@ -155,6 +160,7 @@
     watch(StoreFormat.REPLICAS, REPLICA_TIMING, new ReplicaWatcher(context));
     watch(StoreFormat.WEIGHTS, WEIGHTS_TIMING, new WeightsWatcher(context));
     watch(StoreFormat.LEASES, LEASE_TIMING, rollouts);
+    watch(StoreFormat.CRASH_REPORTS, CRASH_TIMING, crashReports);
     loop.every(TICK_MILLIS, this::tick);
   }
 
@@ -215,9 +221,18 @@
     if (fleet != null) {
       loop.run(() -> fleet.tick(now));
     }
+    loop.run(() -> guardEngines(now));
     loop.run(() -> rollouts.tick(isShuttingDown));
   }
 
+  /** Learns from crashes, and withdraws requests that would crash further engines. */
+  private void guardEngines(long nowMillis) {
+    if (context.poison().tick(nowMillis)) {
+      List.copyOf(exchanges).forEach(Exchange::withdrawIfBarred);
+    }
+    crashReports.tick(fleet != null && fleet.isComplete(nowMillis));
+  }
+
   private void expireReplicas(long nowMillis) {
     context
         .replicas()
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -59,6 +59,7 @@
   private final Map<String, CacheStoreState> cacheStores = new LinkedHashMap<>();
   private final Set<Replica> unverified = new HashSet<>();
   private final EventLog log = new EventLog();
+  private final PoisonGuard poison = new PoisonGuard(log, metrics);
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, PlacementQueue<Exchange>> placementQueues = new HashMap<>();
   private final StallDetector stalls = new StallDetector();
@@ -153,6 +154,11 @@
     return client;
   }
 
+  /** Returns the guard against prompt parts that crash engines. */
+  PoisonGuard poison() {
+    return poison;
+  }
+
   EventLog log() {
     return log;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -43,6 +43,9 @@
   private final Counter fetched =
       counter("bulrushpier.prompt.fetched", "Prompt tokens fetched from stores");
 
+  private final Counter replicaCrashes =
+      counter("bulrushpier.replicas.crashed", "Crashes of replicas that broke off an answer");
+
   private final Timer outdatedWeights =
       timer(
           "bulrushpier.weights.outdated",
@@ -107,6 +110,10 @@
     outdatedWeights.record(Duration.ofMillis(outdatedMillis));
   }
 
+  void replicaCrashed() {
+    replicaCrashes.increment();
+  }
+
   void placed(int sharedPrefillTokens, int fetchedTokens) {
     sharedRead.increment(sharedPrefillTokens);
     fetched.increment(fetchedTokens);
--- a/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
+++ b/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import org.bulrushpier.poison.CrashKnowledge;
 
 /**
  * A datagram between two instances of a site. Datagrams may be lost, duplicated or reordered.
@@ -15,7 +16,8 @@
   @JsonSubTypes.Type(value = FleetMessage.Load.class, name = "l"),
   @JsonSubTypes.Type(value = FleetMessage.Members.class, name = "m"),
   @JsonSubTypes.Type(value = FleetMessage.WeightQuestion.class, name = "q"),
-  @JsonSubTypes.Type(value = FleetMessage.WeightAnswer.class, name = "a")
+  @JsonSubTypes.Type(value = FleetMessage.WeightAnswer.class, name = "a"),
+  @JsonSubTypes.Type(value = FleetMessage.Crashes.class, name = "c")
 })
 public sealed interface FleetMessage {
 
@@ -73,4 +75,12 @@
       ages = List.copyOf(ages);
     }
   }
+
+  /**
+   * Tells what the sender knows of crashes and of prompt parts that crash engines.
+   *
+   * @param knowledge the knowledge
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Crashes(CrashKnowledge knowledge) implements FleetMessage {}
 }
--- a/library/src/main/java/org/bulrushpier/fleet/Membership.java
+++ b/library/src/main/java/org/bulrushpier/fleet/Membership.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bulrushpier.Address;
+import org.bulrushpier.routing.Rendezvous;
 
 /**
  * The instances of the site that this instance knows, learned from a few configured seeds and from
@@ -128,6 +129,36 @@
     return 1 + (int) peers.values().stream().filter(peer -> peer.isLive(nowMillis)).count();
   }
 
+  /**
+   * Checks whether every instance that should be there is live.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return true if all seeds and all remembered instances are live
+   */
+  public boolean isComplete(long nowMillis) {
+    return peers.keySet().containsAll(seeds)
+        && peers.values().stream().allMatch(peer -> peer.isLive(nowMillis));
+  }
+
+  /**
+   * Returns the place of this instance among the live ones in an order that all of them agree on
+   * and that differs by key.
+   *
+   * @param key the key
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the number of live instances that come before this one
+   */
+  public int turn(String key, long nowMillis) {
+    List<String> live = new ArrayList<>(List.of(self.toString()));
+    peers.forEach(
+        (address, peer) -> {
+          if (peer.isLive(nowMillis)) {
+            live.add(address.toString());
+          }
+        });
+    return Rendezvous.order(key, live).indexOf(self.toString());
+  }
+
   /**
    * Returns the instances that get load reports.
    *
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -331,6 +331,11 @@
     return inFlight.size();
   }
 
+  /** Returns whether the response to any request in flight has started. */
+  public boolean hasStartedRequest() {
+    return inFlight.values().stream().anyMatch(InFlightRequest::isStarted);
+  }
+
   /**
    * Returns the number of requests of this instance whose response is overdue.
    *
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaEntry.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaEntry.java
@@ -32,4 +32,9 @@
   public ReplicaEntry {
     weightVersions = Map.copyOf(weightVersions);
   }
+
+  /** Returns an id that differs from that of any other incarnation. */
+  public String incarnation() {
+    return id + "@" + startMillis;
+  }
 }
--- a/library/src/test/java/org/bulrushpier/fleet/MembershipTest.java
+++ b/library/src/test/java/org/bulrushpier/fleet/MembershipTest.java
@@ -116,4 +116,30 @@
     assertThat(membership.liveInstances(0)).isEqualTo(1);
     assertThat(membership.nextPartner(random)).isEmpty();
   }
+
+  @Test
+  void fleetIsIncompleteWhileSeedOrKnownInstanceIsNotHeardFrom() {
+    Membership membership = Membership.of(address(0), List.of(address(0), address(1)));
+    assertThat(membership.isComplete(now)).isFalse();
+
+    membership.heard(address(1), now);
+    assertThat(membership.isComplete(now)).isTrue();
+    membership.learned(address(2), now);
+    assertThat(membership.isComplete(now)).isFalse();
+    membership.heard(address(2), now);
+    assertThat(membership.isComplete(now)).isTrue();
+    assertThat(membership.isComplete(now + Membership.LIVE_MILLIS + 1)).isFalse();
+  }
+
+  @Test
+  void liveInstancesAgreeOnAnOrderOfTurns() {
+    start(0, 5, List.of(address(0)));
+    play(20, (from, to) -> true);
+
+    for (String key : List.of("a", "b", "c")) {
+      List<Integer> turns = new ArrayList<>();
+      instances.values().forEach(instance -> turns.add(instance.turn(key, now)));
+      assertThat(turns).containsExactlyInAnyOrder(0, 1, 2, 3, 4);
+    }
+  }
 }
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
@@ -237,10 +237,17 @@
               ? watch(socket, key, request.query("watch", 0), request.query("wait_ms", 0))
               : list(socket, key);
       case "POST", "PUT" -> write(socket, request, key);
+      case "DELETE" -> delete(socket, key);
       default -> RawHttpServer.sendJson(socket, NOT_FOUND, "{}");
     };
   }
 
+  private boolean delete(Socket socket, String key) throws IOException {
+    int slash = key.indexOf('/');
+    remove(key.substring(0, slash), key.substring(slash + 1));
+    return RawHttpServer.sendJson(socket, 200, "{}");
+  }
+
   private synchronized boolean list(Socket socket, String kind) throws IOException {
     ObjectNode page = json.createObjectNode();
     ArrayNode items = page.putArray("items");
