A replica that says that it leaves gets no further requests, whatever the store says

What callers saw: nothing yet; the rule is new. A replica that answers with Server-Leaving while the store calls it ready went on getting all requests.

Cause: the field was not decoded, and a replica whose entry was removed and came back counted as a new one.

Change: the field marks the incarnation as leaving for good, for every way by which a request is sent, also for requests whose connection is still being opened. ReplicaTable remembers incarnations that had left when their entries disappeared.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -884,7 +884,10 @@
 
     @Override
     public boolean isObsolete() {
-      return remainingMillis() <= 0 || !isVersionAllowed() || parts.check(attempts).isPresent();
+      return remainingMillis() <= 0
+          || !isVersionAllowed()
+          || replica.isLeaving()
+          || parts.check(attempts).isPresent();
     }
 
     @Override
@@ -900,6 +903,7 @@
       long now = MonotonicClock.millis();
       replica.recordActivity(now);
       response.load().ifPresent(load -> replica.recordLoad(load, now));
+      heedDeparture();
       int version = CallFormat.weightVersion(read.fields());
       if (version > 0 && request.prompt().isPresent()) {
         String model = request.prompt().get().model();
@@ -926,6 +930,16 @@
       }
     }
 
+    /** Sends the replica no more requests if it has said that it leaves. */
+    private void heedDeparture() {
+      if (response.isMisdirected()) {
+        return;
+      }
+      if (response.isLeaving() && replica.markLeaving("said so in a response")) {
+        context.logChange("replica-leaving", replica.entry().id(), "said so in a response");
+      }
+    }
+
     private void startStream() {
       isForwardingEvents = true;
       isContinuation = firstEventAfterMillis >= 0;
--- a/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
+++ b/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
@@ -15,6 +15,7 @@
  * @param isEncoded whether the body has a content coding, which no upstream applies itself
  * @param isStream whether the body is an event stream
  * @param load the load reported by the upstream, if any
+ * @param isLeaving whether the upstream says that it is about to leave
  */
 public record UpstreamResponse(
     int status,
@@ -23,7 +24,8 @@
     boolean isNotRun,
     boolean isEncoded,
     boolean isStream,
-    Optional<ReportedLoad> load) {
+    Optional<ReportedLoad> load,
+    boolean isLeaving) {
 
   private static final int MISDIRECTED = 421;
 
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
@@ -31,7 +31,23 @@
    */
   public static final long RENEWAL_GRACE_MILLIS = 2_000;
 
+  /** The most removed replicas that are remembered. */
+  private static final int MAX_LEFT = 1_000;
+
   private final Map<String, Replica> replicas = new LinkedHashMap<>();
+
+  /**
+   * The start times of replicas that were removed after they had said that they leave, by id. Their
+   * entries may return, as the store may be behind; they themselves don't.
+   */
+  private final Map<String, Long> left =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_LEFT;
+        }
+      };
+
   private boolean isStoreUnavailable;
   private long storeAvailableMillis = Long.MIN_VALUE / 2;
 
@@ -68,6 +84,9 @@
       replicas.put(entry.id(), added);
       if (entry.isDraining()) {
         added.markLeaving("draining entry");
+      } else if (entry.startMillis() > 0
+          && left.getOrDefault(entry.id(), 0L) == entry.startMillis()) {
+        added.markLeaving("left before");
       }
       return Change.ADDED;
     }
@@ -108,11 +127,17 @@
       known.markMissing(nowMillis);
       return Change.MISSING;
     }
-    known.markLeaving("entry removed");
-    replicas.remove(id);
+    remove(known, "entry removed");
     return Change.REMOVED;
   }
 
+  private void remove(Replica replica, String reason) {
+    if (!replica.markLeaving(reason)) {
+      left.put(replica.entry().id(), replica.entry().startMillis());
+    }
+    replicas.remove(replica.entry().id());
+  }
+
   /**
    * Handles the removal of all entries that a complete list does not contain.
    *
@@ -142,8 +167,7 @@
       for (Replica replica : List.copyOf(replicas.values())) {
         if (replica.isMissing()) {
           String id = replica.entry().id();
-          replica.markLeaving("entry was not renewed");
-          replicas.remove(id);
+          remove(replica, "entry was not renewed");
           expired.add(id);
         }
       }
