A replica that wants no requests for some time gets none

What callers saw: nothing yet; the rule is new. Where the only replica of a service answered 503 with Retry-After, every call went on reaching it.

Cause: Retry-After of a replica was not decoded.

Evidence: ReplicaWishesIntegrationTest.replicaThatWantsNoRequestsForSomeTimeGetsNoneUntilThen failed in both cases before.

Other replicas take what they can; if there is none, callers are refused at once and told the shortest remaining time. Result: passes; a second replica takes all.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -887,6 +887,7 @@
       return remainingMillis() <= 0
           || !isVersionAllowed()
           || replica.isLeaving()
+          || replica.isDeferred(MonotonicClock.millis())
           || parts.check(attempts).isPresent();
     }
 
@@ -903,7 +904,7 @@
       long now = MonotonicClock.millis();
       replica.recordActivity(now);
       response.load().ifPresent(load -> replica.recordLoad(load, now));
-      heedDeparture();
+      heedWishes(now);
       int version = CallFormat.weightVersion(read.fields());
       if (version > 0 && request.prompt().isPresent()) {
         String model = request.prompt().get().model();
@@ -930,14 +931,18 @@
       }
     }
 
-    /** Sends the replica no more requests if it has said that it leaves. */
-    private void heedDeparture() {
+    /** Sends the replica no more requests for as long as it has said. */
+    private void heedWishes(long nowMillis) {
       if (response.isMisdirected()) {
         return;
       }
       if (response.isLeaving() && replica.markLeaving("said so in a response")) {
         context.logChange("replica-leaving", replica.entry().id(), "said so in a response");
       }
+      if (response.deferralMillis() > 0 && replica.defer(nowMillis + response.deferralMillis())) {
+        context.logChange(
+            "replica-deferred", replica.entry().id(), response.deferralMillis() + " ms");
+      }
     }
 
     private void startStream() {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.bulrushpier.Moment;
 import org.bulrushpier.call.PromptShape;
@@ -67,6 +68,14 @@
         context.configuration().configuration().flatMap(c -> c.service(service));
     List<Replica> usable =
         context.replicas().replicasOf(service).stream().filter(r -> r.isUsable(now)).toList();
+    if (usable.isEmpty()) {
+      OptionalLong deferral = context.replicas().deferralMillis(service, now);
+      if (deferral.isPresent()) {
+        return new Placement.Refuse(
+            "all replicas want no requests for " + deferral.getAsLong() + " ms",
+            deferral.getAsLong());
+      }
+    }
     return target.isPresent() && target.get() instanceof Service.Engines engines
         ? placeOnEngine(engines, usable, excluded, remaining, now)
         : context.plainPlacement().choose(usable, excluded, now);
--- a/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
+++ b/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
@@ -16,6 +16,8 @@
  * @param isStream whether the body is an event stream
  * @param load the load reported by the upstream, if any
  * @param isLeaving whether the upstream says that it is about to leave
+ * @param deferralMillis how long the upstream wants no further requests from this instance, in
+ *     milliseconds, or 0
  */
 public record UpstreamResponse(
     int status,
@@ -25,7 +27,8 @@
     boolean isEncoded,
     boolean isStream,
     Optional<ReportedLoad> load,
-    boolean isLeaving) {
+    boolean isLeaving,
+    long deferralMillis) {
 
   private static final int MISDIRECTED = 421;
 
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -34,6 +34,7 @@
   private long reportedMillis = Long.MIN_VALUE / 2;
   private int ownAtReport;
   private long pausedUntilMillis = Long.MIN_VALUE;
+  private long deferredUntilMillis = Long.MIN_VALUE;
   private long unreachableUntilMillis = Long.MIN_VALUE;
   private long lastActivityMillis = Long.MIN_VALUE / 2;
   private final FailureShare failures = new FailureShare();
@@ -175,14 +176,51 @@
     pausedUntilMillis = Long.MIN_VALUE;
   }
 
+  /**
+   * Sends no requests to the replica for a while, because it wants none.
+   *
+   * @param untilMillis the monotonic time until which it wants none, in milliseconds; the time is
+   *     never shortened
+   * @return true if it wanted requests before
+   */
+  public boolean defer(long untilMillis) {
+    boolean isFirst = deferredUntilMillis == Long.MIN_VALUE;
+    deferredUntilMillis = Math.max(deferredUntilMillis, untilMillis);
+    return isFirst;
+  }
+
+  /**
+   * Checks whether the replica wants no requests now.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return true until the time that it named is over
+   */
+  public boolean isDeferred(long nowMillis) {
+    return deferralMillis(nowMillis) > 0;
+  }
+
+  /**
+   * Returns for how long the replica wants no requests.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the remaining time in milliseconds, or 0
+   */
+  public long deferralMillis(long nowMillis) {
+    return nowMillis >= deferredUntilMillis ? 0 : deferredUntilMillis - nowMillis;
+  }
+
   /**
    * Checks whether a request may be sent to the replica now.
    *
    * @param nowMillis the current monotonic time, in milliseconds
-   * @return true if it is not leaving, not paused, and its circuit breaker permits requests
+   * @return true if it is not leaving, wants requests, is not paused, and its circuit breaker
+   *     permits requests
    */
   public boolean isUsable(long nowMillis) {
-    return !isLeaving() && nowMillis >= pausedUntilMillis && breaker.isUsable(nowMillis);
+    return !isLeaving()
+        && !isDeferred(nowMillis)
+        && nowMillis >= pausedUntilMillis
+        && breaker.isUsable(nowMillis);
   }
 
   /** Returns the circuit breaker, which is driven by the results of real requests. */
--- a/rig/src/test/java/org/bulrushpier/rig/ReplicaWishesIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ReplicaWishesIntegrationTest.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.rig;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.bulrushpier.rig.GatewaySite.await;
 
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -10,14 +11,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.daemon.serve.Gateway;
 import org.bulrushpier.rig.gateway.MetadataStoreFake;
 import org.bulrushpier.rig.gateway.ReplicaFake;
+import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
 import org.bulrushpier.rig.gateway.ReplicaFake.Execution;
 import org.bulrushpier.rig.gateway.ReplicaFake.RawResponse;
 import org.bulrushpier.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -159,4 +163,55 @@
     metadataStore.register(leaving, service(path));
     awaitAnswer(path);
   }
+
+  private static Optional<RawResponse> deferring(Execution execution) {
+    return Optional.of(
+        new RawResponse(
+            "HTTP/1.1 503 X\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nRetry-After: 1.5\r\n"
+                    .formatted(execution.requestId())
+                + "Content-Length: 0\r\n\r\n",
+            false));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"/safe/a", "/stream/a"})
+  void replicaThatWantsNoRequestsForSomeTimeGetsNoneUntilThen(String path) throws Exception {
+    ReplicaFake replica = register(path, "r1");
+    awaitAnswer(path);
+    replica.setScript((execution, isFirst) -> deferring(execution));
+    send(path);
+    final int before = replica.executions().size();
+    long start = MonotonicClock.millis();
+    replica.setScript((execution, isFirst) -> Optional.empty());
+
+    HttpResponse<String> refused = send(path);
+    long refusedAfter = MonotonicClock.millis() - start;
+    assertThat(refused.statusCode()).isEqualTo(UNAVAILABLE);
+    assertThat(Double.parseDouble(refused.headers().firstValue("Retry-After").orElse("0")))
+        .isBetween(1.0, 1.5);
+    assertThat(refusedAfter).isLessThan(500);
+    while (MonotonicClock.millis() - start < 1_300) {
+      assertThat(send(path).statusCode()).isEqualTo(UNAVAILABLE);
+      Thread.sleep(40);
+    }
+    assertThat(replica.executions()).hasSize(before);
+
+    await(() -> MonotonicClock.millis() - start > 1_600);
+    awaitAnswer(path);
+  }
+
+  @Test
+  void replicaThatWantsNoRequestsIsNoReasonToRefuseWhatAnotherTakes() throws Exception {
+    ReplicaFake replica = register("/safe/a", "r1");
+    awaitAnswer("/safe/a");
+    replica.setBehaviour(Behaviour.REFUSE);
+    register("/safe/a", "r2");
+    awaitAnswer("/safe/a");
+    replica.setBehaviour(Behaviour.ANSWER);
+    replica.setScript((execution, isFirst) -> deferring(execution));
+
+    for (int i = 0; i < 40; i++) {
+      assertThat(send("/safe/a").statusCode()).isEqualTo(OK);
+    }
+  }
 }
