In a short shutdown calls are no longer taken until shortly before its end

Here with settings whose grace is short: calls were taken until 2.8 s after SIGTERM, of a grace of 3 s; with 8 s there was no fault.

Cause: the limit was a fixed time. Change: it is 0.35 of the grace, at most 2.8 s as before. Evidence: GatewayIntegrationTest.callThatArrivesLateInShortShutdownIsRefusedAndNotPassedOn got 200 before, now 503.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -43,9 +43,12 @@
   /** How long the load balancer may still send connections after a failed check, in ms. */
   private static final long BALANCER_DELAY_MILLIS = 2_500;
 
-  /** Requests read later than this after the shutdown signal might not finish in time, in ms. */
+  /** Requests are accepted no longer than this after the shutdown signal, in milliseconds. */
   private static final long LAST_REQUEST_MILLIS = 2_800;
 
+  /** Share of the shutdown time after which a further request might not finish in time. */
+  private static final double LAST_REQUEST_SHARE = 0.35;
+
   /** Share of the shutdown time after which requests that are still running are abandoned. */
   private static final double SHUTDOWN_SHARE = 0.88;
 
@@ -285,6 +288,12 @@
     loop.run(() -> context.log().event("stopped", "running", exchanges.size()));
   }
 
+  private boolean isTooLateForRequests() {
+    long limit =
+        Math.min(LAST_REQUEST_MILLIS, (long) (settings.shutdownMillis() * LAST_REQUEST_SHARE));
+    return isShuttingDown && MonotonicClock.millis() - shutdownStartMillis > limit;
+  }
+
   /** Gives the requests that are still under way an answer before the process ends. */
   private void abandonRequests() {
     loop.run(
@@ -369,9 +378,7 @@
     @Override
     public void requestReceived(CallerConnection connection, InboundRequest inbound) {
       connections.add(connection);
-      boolean isTooLate =
-          isShuttingDown && MonotonicClock.millis() - shutdownStartMillis > LAST_REQUEST_MILLIS;
-      if (isStopping || isTooLate) {
+      if (isStopping || isTooLateForRequests()) {
         context.log().event("refused", "reason", "this instance is shutting down");
         HttpFields fields = CallFormat.gatewayResponse("", "this instance is shutting down", 0);
         connection.respond(503, fields, new byte[0]);
--- a/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ForeignResponseIntegrationTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -139,6 +140,15 @@
     return send(request("/once/a").POST(HttpRequest.BodyPublishers.ofString("defect")));
   }
 
+  private HttpResponse<String> sendNote() throws Exception {
+    return send(
+        request("/note/a")
+            .header("Model", "m0")
+            .header("Token-Usage", "100,5")
+            .header("Prefix-Hash", "a1:80,b2:20")
+            .POST(HttpRequest.BodyPublishers.ofString("prompt")));
+  }
+
   private int executed(List<ReplicaFake> replicas) {
     return replicas.stream().mapToInt(replica -> replica.executions().size()).sum();
   }
@@ -252,6 +262,44 @@
     assertThat(executed(calls)).isEqualTo(1);
   }
 
+  /** The replica stops within the head and closes its connection. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 X\r\n",
+        "HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nServer-Se",
+        "HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nServer-Seal: s",
+        "HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nServer-Seal: s\r\n",
+        "HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: 1",
+        "HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: 4\r\n",
+        "HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nTransfer-Enc",
+        "HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r"
+      })
+  void responseWhoseHeadStopsIsNotForwarded(String head) throws Exception {
+    script(calls, execution -> new RawResponse(head.formatted(execution.requestId()), true));
+
+    HttpResponse<String> response = sendOnce();
+
+    assertThat(response.statusCode()).isEqualTo(502);
+    assertThat(response.headers().firstValue("Server-Seal")).isEmpty();
+    assertThat(executed(calls)).isEqualTo(1);
+  }
+
+  /** A stream without length or chunks ends with its connection, whole or within an event. */
+  @Test
+  void streamThatEndsWithItsConnectionIsWholeOnlyAfterCompleteEvent() throws Exception {
+    String head =
+        "HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nServer-Seal: s\r\n"
+            + "Content-Type: text/event-stream\r\n\r\n";
+    String whole = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+    script(engines, e -> new RawResponse(head.formatted(e.requestId()) + whole, true));
+    assertThat(sendNote().body()).isEqualTo(whole);
+
+    script(engines, e -> new RawResponse(head.formatted(e.requestId()) + whole + "id: 3", true));
+    assertThatThrownBy(() -> sendNote()).isInstanceOf(IOException.class);
+  }
+
   @Test
   void largestBodyIsForwardedWhole() throws Exception {
     String largest = "a".repeat(4 * 1_024 * 1_024);
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -387,6 +387,28 @@
     assertThat(call).succeedsWithin(Duration.ofSeconds(10)).returns(502, HttpResponse::statusCode);
   }
 
+  /** Calls were taken until 2.8 s after the signal, however soon the process had to end. */
+  @Test
+  void callThatArrivesLateInShortShutdownIsRefusedAndNotPassedOn() throws Exception {
+    gateway.stop();
+    start(5_000, 3);
+    setBehaviour("engines", Behaviour.HOLD_STREAM);
+    final CompletableFuture<HttpResponse<String>> stream =
+        client.sendAsync(generation("/note/a").build(), HttpResponse.BodyHandlers.ofString());
+    await(() -> executedCount("engines") == 1);
+    final Thread shutdown = Thread.ofVirtual().start(gateway::shutDown);
+    Thread.sleep(1_500);
+
+    HttpResponse<String> response =
+        send(request("/once/a").POST(HttpRequest.BodyPublishers.ofString("defect")));
+
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(executedCount("plain")).isZero();
+    replicas.forEach(ReplicaFake::release);
+    assertThat(stream.get().body()).isEqualTo(events(1, ReplicaFake.EVENTS));
+    shutdown.join();
+  }
+
   /** The process ends as soon as the shutdown is over, whatever is under way. */
   @Test
   void callThatArrivesWhenShutdownIsOverIsRefusedAndNotPassedOn() throws Exception {
