An instance is not ready before it knows the replicas

Cause: readiness waited for the configuration and the versions of weights, not for the list of replicas. Evidence: GatewayIntegrationTest.gatewayIsNotReadyBeforeItKnowsTheReplicas failed before. Change: readiness waits for the first list of replicas. Result: passes.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -261,7 +261,10 @@
   private boolean isReady() {
     long age = context.configuration().ageMillis(Moment.now());
     boolean isReady =
-        !isShuttingDown && context.keyFreshness().isReady(age) && context.weights().isListed();
+        !isShuttingDown
+            && context.keyFreshness().isReady(age)
+            && context.weights().isListed()
+            && context.replicas().isListed();
     if (isReady != wasReady) {
       wasReady = isReady;
       context.log().event(isReady ? "ready" : "not-ready", "leaving", isShuttingDown);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
@@ -46,6 +46,7 @@
         .replicas()
         .retain(ids, now)
         .forEach((id, change) -> context.logChange("replica-" + change.name(), id, "not listed"));
+    context.replicas().markListed();
   }
 
   @Override
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
@@ -49,6 +49,7 @@
         }
       };
 
+  private boolean isListed;
   private boolean isStoreUnavailable;
   private long storeAvailableMillis = Long.MIN_VALUE / 2;
 
@@ -176,6 +177,16 @@
     return expired;
   }
 
+  /** Records that the whole registry has been read. */
+  public void markListed() {
+    isListed = true;
+  }
+
+  /** Returns whether the whole registry has been read once. */
+  public boolean isListed() {
+    return isListed;
+  }
+
   /** Records that the registry's store does not answer. */
   public void markStoreUnavailable() {
     isStoreUnavailable = true;
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -364,6 +364,23 @@
     }
   }
 
+  /** Until it knew the replicas, it refused what they would have taken. */
+  @Test
+  void gatewayIsNotReadyBeforeItKnowsTheReplicas() throws Exception {
+    gateway.stop();
+    metadataStore.silenceReads("servers");
+    gateway = Gateway.start(settings);
+    for (int i = 0; i < 20; i++) {
+      assertThat(isReady()).isFalse();
+      Thread.sleep(50);
+    }
+
+    metadataStore.silenceReads("");
+    await(this::isReady);
+
+    assertThat(send(generation("/stream/a")).statusCode()).isEqualTo(200);
+  }
+
   @Test
   void callWithoutReadableSizeIsAnswered() throws Exception {
     assertThat(send(generation("/stream/a").setHeader("Token-Usage", ",")).statusCode())
