Engines that crashed under a request do not count towards its attempts

What callers saw: a sound stream that lost two engines to another request's prompt was cut, as its route allows two attempts. Cause: each send counted, also to a replica that has ended since. Evidence: PoisonPartIntegrationTest.soundStreamIsContinuedAfterTwoEnginesCrashedUnderIt was cut before. Change: replicas that are known to have crashed do not count; the retry budget and suspect parts limit repeats as before.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -409,7 +409,7 @@
   }
 
   private boolean mayRetry(long sends) {
-    return sends < route.maxAttempts()
+    return sends - parts.crashedReplicas() < route.maxAttempts()
         && !hasUnnumberedEvents
         && remainingMillis() > MIN_REMAINING_MILLIS;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/PoisonGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/PoisonGuard.java
@@ -56,6 +56,11 @@
     return parts.check(shared, MonotonicClock.millis());
   }
 
+  /** Returns whether a replica is known to have crashed. */
+  boolean hasCrashed(Replica replica) {
+    return parts.hasCrashed(replica.entry().incarnation());
+  }
+
   /** Returns whether one of the parts may turn out to crash engines. */
   boolean isUncertain(Collection<String> shared) {
     return parts.isUncertain(shared);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RequestParts.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RequestParts.java
@@ -1,5 +1,6 @@
 package org.bulrushpier.daemon.serve;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.bulrushpier.call.PromptPart;
@@ -24,6 +25,7 @@
 
   private final PoisonGuard guard;
   private final List<String> ids;
+  private final List<Replica> brokenOff = new ArrayList<>();
   private boolean isTrial;
   private long brokeOffMillis = Long.MIN_VALUE / 2;
 
@@ -66,6 +68,11 @@
     return isTrial || guard.isUncertain(ids);
   }
 
+  /** Returns the number of replicas that had the request and are known to have crashed since. */
+  int crashedReplicas() {
+    return (int) brokenOff.stream().filter(guard::hasCrashed).count();
+  }
+
   /** Records that the request was answered to its end. */
   void answered() {
     guard.answered(ids);
@@ -74,6 +81,7 @@
   /** Records that the connection of the answer, which had begun, ended before it did. */
   void answerBrokeOff(Replica replica, long nowMillis) {
     brokeOffMillis = nowMillis;
+    brokenOff.add(replica);
     guard.answerBrokeOff(replica, ids);
   }
 
--- a/library/src/main/java/org/bulrushpier/poison/PoisonParts.java
+++ b/library/src/main/java/org/bulrushpier/poison/PoisonParts.java
@@ -297,6 +297,16 @@
                                     && crash.parts().stream().noneMatch(suspects::containsKey)));
   }
 
+  /**
+   * Checks whether a replica has crashed.
+   *
+   * @param replica the id of the incarnation
+   * @return true if a crash of it is remembered
+   */
+  public boolean hasCrashed(String replica) {
+    return crashes.containsKey(replica);
+  }
+
   /** Returns the ids of the parts that are barred or on trial. */
   public Set<String> suspects() {
     return Set.copyOf(suspects.keySet());
--- a/rig/src/test/java/org/bulrushpier/rig/PoisonPartIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/PoisonPartIntegrationTest.java
@@ -159,6 +159,33 @@
     assertThat(poisonedArrivalsAfter(known)).isZero();
   }
 
+  /** Engines that ended do not count towards the attempts that a route allows, which are two. */
+  @Test
+  void soundStreamIsContinuedAfterTwoEnginesCrashedUnderIt() throws Exception {
+    GatewaySite.Instance instance = site.startInstances(1).get(0);
+    for (int i = 0; i < 30; i++) {
+      assertThat(send(instance, "common:40,s1:20,t" + i + ":20").status()).isEqualTo(OK);
+    }
+    site.engines().forEach(engine -> engine.setPace(new ReplicaFake.Pace(0, 500, 0)));
+    int before = site.arrivals().size();
+
+    Sent sent = send(instance, "common:40,s1:20,last:20");
+    for (int crashes = 1; crashes <= 2; crashes++) {
+      int arrivals = before + crashes;
+      GatewaySite.await(() -> site.arrivals().size() >= arrivals || sent.outcome().isDone());
+      Thread.sleep(700);
+      String id = site.arrivals().get(arrivals - 1).execution().replica();
+      for (ReplicaFake engine : site.engines()) {
+        if (engine.id().equals(id)) {
+          engine.crash(AWAY_MILLIS);
+        }
+      }
+    }
+
+    assertThat(sent.status()).isEqualTo(OK);
+    assertThat(site.arrivals()).hasSize(before + 3);
+  }
+
   /** A rack that loses power several times does not make the parts of its requests suspect. */
   @Test
   void enginesThatCrashTogetherMakeNoPartSuspect() throws Exception {
