Suspect prompt parts outlast a restart of all instances

What callers saw: after all instances restarted together, requests with a part that was known to crash engines did so again. Evidence: PoisonPartIntegrationTest.partIsKnownAfterAllInstancesHaveRestarted failed before (a request reached an engine). Cause: while all instances hear each other nothing was written to the store. Change: the instance whose turn comes first for the part writes its object when a part is barred, tried or cleared.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
@@ -14,11 +14,11 @@
 
 /**
  * Exchanges the knowledge of crashes through the platform's metadata store, for instances that
- * cannot reach each other.
+ * cannot reach each other, and keeps the suspect parts there in case all instances restart.
  *
- * <p>Each instance has one object of its own, which it writes only while there are instances that
- * it does not hear from, and removes when there is nothing left to tell. Guarded by the loop's
- * lock.
+ * <p>Each instance has one object of its own, which it removes when there is nothing left to tell.
+ * While all instances hear each other, only the one whose turn it is writes the suspect parts.
+ * Guarded by the loop's lock.
  */
 final class CrashReportStore implements StoreWatch.Listener {
 
@@ -34,6 +34,7 @@
   private boolean isCalling;
   private long calledMillis = Long.MIN_VALUE / 2;
   private long writtenChanges;
+  private long writtenSuspects;
 
   CrashReportStore(GatewayContext context) {
     this.context = context;
@@ -49,19 +50,25 @@
     if (isCalling || now - calledMillis < WRITE_INTERVAL_MILLIS) {
       return;
     }
-    long changes = context.poison().ownChanges();
-    if (isFleetComplete) {
-      writtenChanges = changes;
-    }
-    if (changes != writtenChanges) {
-      write(now, changes);
+    if (isWriteDue(isFleetComplete)) {
+      write(now);
     } else if (revision > 0 && context.poison().knowledge().isEmpty()) {
       remove(now);
     }
   }
 
-  private void write(long nowMillis, long changes) {
+  private boolean isWriteDue(boolean isFleetComplete) {
+    PoisonGuard guard = context.poison();
+    boolean hasNewSuspects = guard.suspectChanges() != writtenSuspects;
+    return isFleetComplete
+        ? hasNewSuspects && (revision > 0 || guard.hasFirstTurn())
+        : hasNewSuspects || guard.ownChanges() != writtenChanges;
+  }
+
+  private void write(long nowMillis) {
     CrashKnowledge knowledge = context.poison().knowledge();
+    long changes = context.poison().ownChanges();
+    long suspectChanges = context.poison().suspectChanges();
     byte[] body = StoreFormat.write(name(), revision, CrashFormat.encode(knowledge, Moment.now()));
     call(
         nowMillis,
@@ -70,7 +77,12 @@
             ? StoreFormat.object(StoreFormat.CRASH_REPORTS, name())
             : StoreFormat.kind(StoreFormat.CRASH_REPORTS),
         body,
-        outcome -> written(outcome, changes));
+        outcome -> {
+          if (written(outcome)) {
+            writtenChanges = changes;
+            writtenSuspects = suspectChanges;
+          }
+        });
   }
 
   private void remove(long nowMillis) {
@@ -115,10 +127,9 @@
             });
   }
 
-  private void written(ControlClient.Outcome outcome, long changes) throws IOException {
+  private boolean written(ControlClient.Outcome outcome) throws IOException {
     if (outcome.isOk()) {
       revision = StoreFormat.value(outcome.body()).revision();
-      writtenChanges = changes;
       context.log().event("crash-report-written", "revision", revision);
     } else if (outcome.status() == NOT_FOUND) {
       revision = 0;
@@ -129,6 +140,7 @@
           .log()
           .event("crash-report-unwritten", "status", outcome.status(), "detail", outcome.detail());
     }
+    return outcome.isOk();
   }
 
   @Override
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -67,7 +67,7 @@
   /** The lease lists the engines that are changing; stale data only delays requests at those. */
   private static final StoreWatch.Timing LEASE_TIMING = new StoreWatch.Timing(3_000, 150);
 
-  /** Crashes are told through the store only where instances cannot reach each other. */
+  /** Instances that reach each other tell their crashes directly. */
   private static final StoreWatch.Timing CRASH_TIMING = new StoreWatch.Timing(5_000, 50);
 
   private static final long SHUTDOWN_POLL_MILLIS = 50;
@@ -156,6 +156,7 @@
             "Engines whose weights are older than the requested ones",
             rollouts::outdatedEngines);
     long wait = context.keyFreshness().watchMillis();
+    watch(StoreFormat.CRASH_REPORTS, CRASH_TIMING, crashReports);
     watch(
         StoreFormat.CONFIGURATIONS,
         new StoreWatch.Timing(wait, CONFIGURATION_PAUSE_MILLIS),
@@ -163,7 +164,6 @@
     watch(StoreFormat.REPLICAS, REPLICA_TIMING, new ReplicaWatcher(context));
     watch(StoreFormat.WEIGHTS, WEIGHTS_TIMING, new WeightsWatcher(context));
     watch(StoreFormat.LEASES, LEASE_TIMING, rollouts);
-    watch(StoreFormat.CRASH_REPORTS, CRASH_TIMING, crashReports);
     loop.every(TICK_MILLIS, this::tick);
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/PoisonGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/PoisonGuard.java
@@ -95,6 +95,16 @@
     return parts.changes();
   }
 
+  /** Returns a number that grows whenever a part is barred, tried or cleared. */
+  long suspectChanges() {
+    return parts.suspectChanges();
+  }
+
+  /** Returns whether this instance is the first in the order of turns for any suspect part. */
+  boolean hasFirstTurn() {
+    return parts.suspects().stream().anyMatch(part -> turn.before(part) == 0);
+  }
+
   /** Returns a number that grows with each change that this instance has seen itself. */
   long ownChanges() {
     return ownChanges;
--- a/library/src/main/java/org/bulrushpier/poison/CrashKnowledge.java
+++ b/library/src/main/java/org/bulrushpier/poison/CrashKnowledge.java
@@ -69,7 +69,8 @@
    *
    * @param part the id of the part
    * @param ageMillis the time for which it has been suspect, in milliseconds
-   * @param remainingMillis the time until it may be tried again, in milliseconds, or 0
+   * @param remainingMillis the time until it may be tried again, in milliseconds, which is negative
+   *     afterwards
    * @param trials the number of trials that ended with a crash
    * @param trialAgeMillis the time since the last trial began, in milliseconds, or -1
    */
@@ -79,7 +80,7 @@
     private boolean isPlausible() {
       return isId(part)
           && isAge(ageMillis)
-          && isAge(remainingMillis)
+          && Math.abs(remainingMillis) <= MAX_MILLIS
           && trials >= 0
           && trialAgeMillis >= -1
           && trialAgeMillis <= MAX_MILLIS;
--- a/library/src/main/java/org/bulrushpier/poison/PoisonParts.java
+++ b/library/src/main/java/org/bulrushpier/poison/PoisonParts.java
@@ -87,6 +87,7 @@
   private final Set<String> cleared = new LinkedHashSet<>();
 
   private long changes;
+  private long suspectChanges;
 
   private record Suspect(long sinceMillis, long untilMillis, int trials, long trialMillis) {
 
@@ -192,8 +193,7 @@
     for (String part : inferred) {
       if (!suspects.containsKey(part) && suspects.size() < MAX_SUSPECTS) {
         long until = nowMillis + FIRST_TERM_MILLIS;
-        suspects.put(part, new Suspect(nowMillis, until, 0, PoisonInference.NEVER));
-        changes++;
+        put(part, new Suspect(nowMillis, until, 0, PoisonInference.NEVER));
       }
     }
     for (Map.Entry<String, Suspect> entry : Map.copyOf(suspects).entrySet()) {
@@ -201,24 +201,33 @@
       Suspect suspect = entry.getValue();
       long lastCrash = lastCrash(part);
       if (lastSound(part) > suspect.sinceMillis) {
-        suspects.remove(part);
-        clear(part);
+        remove(part);
+        rememberCleared(part);
       } else if (isAcquitted(part, inferred)) {
-        suspects.remove(part);
-        changes++;
+        remove(part);
       } else if (lastCrash > suspect.untilMillis) {
-        suspects.put(part, suspect.renewed(lastCrash));
-        changes++;
+        put(part, suspect.renewed(lastCrash));
       }
     }
   }
 
-  private void clear(String part) {
+  private void put(String part, Suspect suspect) {
+    suspects.put(part, suspect);
+    suspectChanges++;
+    changes++;
+  }
+
+  private void remove(String part) {
+    suspects.remove(part);
+    suspectChanges++;
+    changes++;
+  }
+
+  private void rememberCleared(String part) {
     if (cleared.size() >= MAX_CLEARED) {
       cleared.remove(cleared.iterator().next());
     }
     cleared.add(part);
-    changes++;
   }
 
   private long lastCrash(String part) {
@@ -255,8 +264,7 @@
         return new PartAdmission.Barred(part, due - nowMillis);
       }
     }
-    suspect.forEach(part -> suspects.computeIfPresent(part, (id, s) -> s.tried(nowMillis)));
-    changes++;
+    suspect.forEach(part -> put(part, suspects.get(part).tried(nowMillis)));
     return new PartAdmission.Trial(suspect.get(0));
   }
 
@@ -322,6 +330,11 @@
     return changes;
   }
 
+  /** Returns a number that grows whenever a part is barred, tried or cleared. */
+  public long suspectChanges() {
+    return suspectChanges;
+  }
+
   /**
    * Forgets what is too old.
    *
@@ -374,7 +387,7 @@
     return new SuspectPart(
         part,
         Math.max(0, nowMillis - suspect.sinceMillis),
-        Math.max(0, suspect.untilMillis - nowMillis),
+        suspect.untilMillis - nowMillis,
         suspect.trials,
         suspect.trialMillis == PoisonInference.NEVER ? -1 : nowMillis - suspect.trialMillis);
   }
@@ -401,7 +414,9 @@
       }
     }
     Map<String, Suspect> adopted = new HashMap<>();
-    told.suspects().forEach(part -> adopted.put(part.part(), suspect(part, nowMillis)));
+    told.suspects().stream()
+        .filter(part -> part.remainingMillis() >= -PROBATION_MILLIS)
+        .forEach(part -> adopted.put(part.part(), suspect(part, nowMillis)));
     infer(nowMillis);
     adopted.forEach(this::adopt);
   }
@@ -421,11 +436,9 @@
       return;
     }
     if (known == null || told.trials > known.trials) {
-      suspects.put(part, told);
-      changes++;
+      put(part, told);
     } else if (told.trialMillis > known.trialMillis + TURN_MILLIS) {
-      suspects.put(part, known.tried(told.trialMillis));
-      changes++;
+      put(part, known.tried(told.trialMillis));
     }
   }
 }
--- a/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -234,6 +234,19 @@
     return List.copyOf(instances);
   }
 
+  /** Stops all instances without warning and starts them again. */
+  void restartInstances() throws Exception {
+    for (Instance instance : instances) {
+      instance.gateway.stop();
+    }
+    for (Instance instance : instances) {
+      instance.gateway = Gateway.start(instance.settings);
+    }
+    for (Instance instance : instances) {
+      instance.awaitReady();
+    }
+  }
+
   private GatewaySettings settings(String host, int fleetPort, String seed) throws IOException {
     return parse(
         settingsText(
--- a/rig/src/test/java/org/bulrushpier/rig/PoisonPartIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/PoisonPartIntegrationTest.java
@@ -159,6 +159,21 @@
     assertThat(poisonedArrivalsAfter(known)).isZero();
   }
 
+  @Test
+  void partIsKnownAfterAllInstancesHaveRestarted() throws Exception {
+    List<GatewaySite.Instance> instances = site.startInstances(2);
+    play(instances, "common:40,bad:20,m%1$d:20,n%1$d:20", 9_000);
+    site.restartInstances();
+    Thread.sleep(1_000);
+    long restarted = MonotonicClock.millis();
+
+    for (GatewaySite.Instance instance : instances) {
+      assertThat(send(instance, "common:40,bad:20,m:20,n:20").status()).isEqualTo(UNAVAILABLE);
+      assertThat(send(instance, "common:40,s1:20,t:20,u:20").status()).isEqualTo(OK);
+    }
+    assertThat(poisonedArrivalsAfter(restarted)).isZero();
+  }
+
   /** Engines that ended do not count towards the attempts that a route allows, which are two. */
   @Test
   void soundStreamIsContinuedAfterTwoEnginesCrashedUnderIt() throws Exception {
