Crashes are confirmed by silence, and are not remembered forever by gossip

Found by review of the fix: (1) a crash was dismissed if another connection to the engine was still open, which is so while a lost packet is sent again; it is now confirmed after 600 ms without a byte. (2) Ages grow younger by the time that they travel, so that two instances reminded each other of an expired crash or suspect without end (PoisonPartsTest.instancesDoNotRemindEachOtherForever failed before). (3) Requests barred while a second attempt had not begun were left there. (4) Every instance wrote the store for each suspect while one other was not heard from.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashGossip.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashGossip.java
@@ -28,21 +28,25 @@
   private long toldMillis = Long.MIN_VALUE / 2;
 
   /**
-   * Returns the instances to tell now.
+   * Returns whether other instances are to be told now.
    *
    * @param changes a number that grows with each change of the knowledge
-   * @param contacts the other instances
    * @param nowMillis the current monotonic time, in milliseconds
    */
-  List<Address> receivers(long changes, List<Address> contacts, long nowMillis) {
+  boolean isDue(long changes, long nowMillis) {
     if (changes != toldChanges) {
       toldChanges = changes;
       newsUntilMillis = nowMillis + NEWS_MILLIS;
     }
     if (nowMillis >= newsUntilMillis || nowMillis - toldMillis < INTERVAL_MILLIS) {
-      return List.of();
+      return false;
     }
     toldMillis = nowMillis;
+    return true;
+  }
+
+  /** Selects the instances to tell among the others. */
+  List<Address> receivers(List<Address> contacts) {
     List<Address> receivers = new ArrayList<>(contacts);
     Collections.shuffle(receivers);
     return receivers.subList(0, Math.min(FANOUT, receivers.size()));
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
@@ -60,9 +60,9 @@
   private boolean isWriteDue(boolean isFleetComplete) {
     PoisonGuard guard = context.poison();
     boolean hasNewSuspects = guard.suspectChanges() != writtenSuspects;
-    return isFleetComplete
-        ? hasNewSuspects && (revision > 0 || guard.hasFirstTurn())
-        : hasNewSuspects || guard.ownChanges() != writtenChanges;
+    boolean isResponsible = revision > 0 || guard.hasFirstTurn();
+    boolean hasSeenChanges = guard.ownChanges() != writtenChanges;
+    return (hasNewSuspects && isResponsible) || (hasSeenChanges && !isFleetComplete);
   }
 
   private void write(long nowMillis) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -397,8 +397,13 @@
       return;
     }
     Optional<Barred> barred = parts.check(attempts);
-    if (barred.isPresent() && race.running().stream().noneMatch(Attempt::isStarted)) {
-      giveUp(barred.get().reason(), barred.get().retryAfterMillis());
+    if (barred.isPresent()) {
+      race.running().stream()
+          .filter(attempt -> !attempt.isStarted())
+          .forEach(attempt -> attempt.cancel("barred"));
+      if (race.isEmpty()) {
+        giveUp(barred.get().reason(), barred.get().retryAfterMillis());
+      }
     }
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -123,8 +123,9 @@
     reportLoad(nowMillis);
     exchangeMembers(nowMillis);
     askForWeights(nowMillis);
-    List<Address> contacts = membership.contacts(nowMillis);
-    gossip.receivers(context.poison().changes(), contacts, nowMillis).forEach(this::tellCrashes);
+    if (gossip.isDue(context.poison().changes(), nowMillis)) {
+      gossip.receivers(membership.contacts(nowMillis)).forEach(this::tellCrashes);
+    }
   }
 
   /** Returns whether all instances of which this one knows are heard from. */
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RequestParts.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RequestParts.java
@@ -80,9 +80,11 @@
 
   /** Records that the connection of the answer, which had begun, ended before it did. */
   void answerBrokeOff(Replica replica, long nowMillis) {
-    brokeOffMillis = nowMillis;
-    brokenOff.add(replica);
-    guard.answerBrokeOff(replica, ids);
+    if (!ids.isEmpty()) {
+      brokeOffMillis = nowMillis;
+      brokenOff.add(replica);
+      guard.answerBrokeOff(replica, ids);
+    }
   }
 
   @Override
--- a/library/src/main/java/org/bulrushpier/poison/CrashDetector.java
+++ b/library/src/main/java/org/bulrushpier/poison/CrashDetector.java
@@ -12,8 +12,8 @@
 
 /**
  * Tells the crash of a replica from the loss of single connections: a process that ends takes all
- * its connections with it, so a replica that is still answering other requests shortly after an
- * answer broke off has not crashed. A replica that had said that it leaves ends as planned.
+ * its connections with it, so a replica that goes on answering other requests after an answer broke
+ * off has not crashed. A replica that had said that it leaves ends as planned.
  *
  * <p>Invariant: the answers that break off with a replica within {@value #CONFIRMATION_MILLIS} ms
  * make up one crash. Not thread-safe; guarded by the lock of the gateway's event loop.
@@ -23,6 +23,12 @@
   /** The time after which a replica that sends nothing more is taken to have crashed, in ms. */
   static final long CONFIRMATION_MILLIS = 150;
 
+  /**
+   * The same while connections with answers that have begun are open, in milliseconds: packets that
+   * would end them may have been lost.
+   */
+  static final long OPEN_CONFIRMATION_MILLIS = 600;
+
   /** Bytes that were underway when a connection broke off may be read so much later, in ms. */
   private static final long SETTLING_MILLIS = 50;
 
@@ -57,20 +63,16 @@
     Iterator<Map.Entry<Replica, Suspicion>> it = suspicions.entrySet().iterator();
     while (it.hasNext()) {
       Map.Entry<Replica, Suspicion> entry = it.next();
+      Replica replica = entry.getKey();
       Suspicion suspicion = entry.getValue();
-      if (nowMillis - suspicion.millis >= CONFIRMATION_MILLIS) {
+      long needed = replica.hasStartedRequest() ? OPEN_CONFIRMATION_MILLIS : CONFIRMATION_MILLIS;
+      if (replica.lastActivityMillis() > suspicion.millis + SETTLING_MILLIS) {
         it.remove();
-        if (!isAlive(entry.getKey(), suspicion.millis)) {
-          crashes.add(
-              new Crash(entry.getKey().entry().incarnation(), suspicion.millis, suspicion.parts));
-        }
+      } else if (nowMillis - suspicion.millis >= needed) {
+        it.remove();
+        crashes.add(new Crash(replica.entry().incarnation(), suspicion.millis, suspicion.parts));
       }
     }
     return crashes;
   }
-
-  private static boolean isAlive(Replica replica, long sinceMillis) {
-    return replica.hasStartedRequest()
-        || replica.lastActivityMillis() > sinceMillis + SETTLING_MILLIS;
-  }
 }
--- a/library/src/main/java/org/bulrushpier/poison/PoisonParts.java
+++ b/library/src/main/java/org/bulrushpier/poison/PoisonParts.java
@@ -37,6 +37,12 @@
   /** How long a crash is remembered, in milliseconds. */
   static final long MEMORY_MILLIS = 120_000;
 
+  /**
+   * The age up to which a crash is learned from others, in milliseconds. It lies far below the time
+   * for which crashes are remembered, as instances would otherwise remind each other forever.
+   */
+  static final long LEARNING_MILLIS = 60_000;
+
   /** The first term of a suspect part, in milliseconds. */
   static final long FIRST_TERM_MILLIS = 30_000;
 
@@ -52,6 +58,9 @@
   /** How long a suspect part is remembered after the end of its term, in milliseconds. */
   private static final long PROBATION_MILLIS = 600_000;
 
+  /** How long after the end of its term a suspect part is learned from others, in milliseconds. */
+  private static final long PROBATION_LEARNING_MILLIS = 300_000;
+
   static final int MAX_CRASHES = 48;
   private static final int MAX_SUSPECTS = 32;
   private static final int MAX_SOUND = 4_096;
@@ -400,7 +409,7 @@
    */
   public void learn(CrashKnowledge told, long nowMillis) {
     for (ReportedCrash crash : told.crashes()) {
-      if (crash.ageMillis() <= MEMORY_MILLIS
+      if (crash.ageMillis() <= LEARNING_MILLIS
           && add(
               new Crash(
                   crash.replica(), nowMillis - crash.ageMillis(), new HashSet<>(crash.parts())))) {
@@ -415,7 +424,7 @@
     }
     Map<String, Suspect> adopted = new HashMap<>();
     told.suspects().stream()
-        .filter(part -> part.remainingMillis() >= -PROBATION_MILLIS)
+        .filter(part -> part.remainingMillis() >= -PROBATION_LEARNING_MILLIS)
         .forEach(part -> adopted.put(part.part(), suspect(part, nowMillis)));
     infer(nowMillis);
     adopted.forEach(this::adopt);
--- a/library/src/test/java/org/bulrushpier/poison/PoisonPartsTest.java
+++ b/library/src/test/java/org/bulrushpier/poison/PoisonPartsTest.java
@@ -229,6 +229,24 @@
     assertThat(now - youngest).isEqualTo(START);
   }
 
+  /** Each exchange makes ages younger by the time that it takes. */
+  @Test
+  void instancesDoNotRemindEachOtherForever() {
+    parts.answered(List.of("common"), START);
+    long now = crashes(3);
+    PoisonParts other = new PoisonParts();
+    for (long end = now + 1_400_000; now < end; now += 500) {
+      parts.expire(now);
+      other.expire(now);
+      other.learn(parts.knowledge(now), now + 200);
+      parts.learn(other.knowledge(now + 200), now + 400);
+    }
+
+    assertThat(parts.suspects()).isEmpty();
+    assertThat(other.suspects()).isEmpty();
+    assertThat(parts.crashes() + other.crashes()).isZero();
+  }
+
   @Test
   void knowledgeIsBoundedAndFitsIntoDatagram() {
     for (int i = 0; i < 1_000; i++) {
