Soak: calls whose prompts have a part that crashes engines

Rounds of 8 to 15 s in which 5 to 16 calls a second carry one part that makes engines crash, beside all other faults; the drawings of the other faults are as before. The promise POISON: at most three such calls reach engines later than the contact time after the fifth crash, from instances in contact.

--- a/rig/src/main/java/org/bulrushpier/rig/gateway/CallerFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/CallerFake.java
@@ -50,9 +50,16 @@
    * @param session the number of the session that a generation belongs to
    * @param events the number of events of a generation
    * @param waitMillis how long the caller waits, in milliseconds
+   * @param part a further part of the prompt, or empty
    */
   public record Call(
-      String id, Route route, String key, int session, int events, long waitMillis) {}
+      String id, Route route, String key, int session, int events, long waitMillis, String part) {
+
+    /** Creates a call whose prompt has no further part. */
+    public Call(String id, Route route, String key, int session, int events, long waitMillis) {
+      this(id, route, key, session, events, waitMillis, "");
+    }
+  }
 
   /**
    * What the caller received. Immutable and thread-safe.
@@ -175,8 +182,11 @@
   public Answer send(Call call) {
     String generation =
         call.route().isGeneration()
-            ? "Model: m0\r\nToken-Usage: 100,%1$d\r\nPrefix-Hash: s%2$d:80,r%2$d:20\r\n"
-                .formatted(call.events(), call.session())
+            ? "Model: m0\r\nToken-Usage: 100,%1$d\r\nPrefix-Hash: s%2$d:80,%3$sr%2$d:20\r\n"
+                .formatted(
+                    call.events(),
+                    call.session(),
+                    call.part().isEmpty() ? "" : call.part() + ":20,")
             : "";
     return exchange(
         "POST /%s/a HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n"
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -145,6 +145,7 @@
   private long bornMillis = 1_700_000_000_000L;
   private Poison poison = new Poison("", 0);
   private boolean isAway;
+  private Runnable crashListener = () -> {};
   private final List<Long> crashMillis = new ArrayList<>();
 
   /**
@@ -351,6 +352,15 @@
     return poison;
   }
 
+  /**
+   * Changes what is called before each crash takes effect.
+   *
+   * @param next the listener
+   */
+  public synchronized void setCrashListener(Runnable next) {
+    crashListener = next;
+  }
+
   /**
    * Closes all connections and refuses new ones for some time, after which the replica is back as
    * another incarnation. Does nothing if it is already away.
@@ -365,6 +375,7 @@
       }
       isAway = true;
       crashMillis.add(MonotonicClock.millis());
+      crashListener.run();
     }
     server.crash();
     Thread.ofVirtual()
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Client.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Client.java
@@ -110,6 +110,13 @@
 
   /** Makes a call over the present connection. */
   Answer call(Route route) throws IOException {
+    return call(route, "");
+  }
+
+  /**
+   * Makes a call over the present connection whose prompt has a further part unless it is empty.
+   */
+  Answer call(Route route, String part) throws IOException {
     int customer = random.nextInt(site.keys().size());
     List<String> customers = List.copyOf(site.keys().keySet());
     int events = random.nextInt(20) == 0 ? LONG_EVENTS : 1 + random.nextInt(MAX_EVENTS);
@@ -120,7 +127,8 @@
             site.keys().get(customers.get(customer)),
             random.nextInt(SESSIONS),
             events,
-            WAIT_MILLIS);
+            WAIT_MILLIS,
+            part);
     observer.callBegins(call, customers.get(customer), instance, run, idleSinceMillis);
     Answer answer = caller.send(call);
     idleSinceMillis = MonotonicClock.millis();
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
@@ -48,6 +48,12 @@
   /** An engine works slowly for some time. */
   record SlowDown(int engine, long millis) implements Fault {}
 
+  /**
+   * Calls come at all instances whose prompts have a part that makes engines crash. Nothing is
+   * played while another such part is in use.
+   */
+  record Poison(long gapMillis, long millis) implements Fault {}
+
   /** A replica closes all its connections. */
   record DropConnections(int replica) implements Fault {}
 
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -19,7 +19,7 @@
  * Checks the promises of the gateway from what callers receive and replicas execute.
  *
  * <p>Thread-safe. The records of calls have one lock each; no other lock is taken under it except
- * that of an instance.
+ * those of an instance and of a record of crashes.
  */
 final class Observer {
 
@@ -39,6 +39,12 @@
   /** The part of the idle timeout for which callers use a connection again. */
   private static final double REUSED_SHARE = 0.8;
 
+  /** The crashes under a prompt part after which all instances have to know of it. */
+  private static final int KNOWN_CRASHES = 5;
+
+  /** The calls with such a part that may still reach engines. */
+  private static final int MAX_LATE_CALLS = 3;
+
   /** How long before the end of the time for a change generations may be recalled, in ms. */
   private static final long RECALL_MILLIS = 1_000;
 
@@ -64,6 +70,8 @@
     UNANSWERED,
     /** A replica that leaves gets no more calls. */
     LEFT,
+    /** Calls with a prompt part under which engines have crashed reach no more engines. */
+    POISON,
     /** After all faults, every engine serves the newest version and calls are answered. */
     RECOVERY
   }
@@ -73,6 +81,7 @@
   private final Map<Integer, Long> requestedMillis = new ConcurrentHashMap<>();
   private final Map<String, Long> faultyUntilMillis = new ConcurrentHashMap<>();
   private final Map<String, Long> leftMillis = new ConcurrentHashMap<>();
+  private final Map<String, PoisonRecord> poisons = new ConcurrentHashMap<>();
   private final List<StoredConfiguration> configurations = new CopyOnWriteArrayList<>();
   private final Map<Promise, List<String>> violations = new TreeMap<>();
   private final Map<String, Integer> counts = new TreeMap<>();
@@ -82,6 +91,12 @@
   /** The limits of a configuration and the moment at which it was stored. */
   private record StoredConfiguration(long millis, long timeoutMillis, long idleTimeoutMillis) {}
 
+  /** The crashes under a prompt part and the calls with it that came later. Guarded by its lock. */
+  private static final class PoisonRecord {
+    private final List<Long> crashMillis = new ArrayList<>();
+    private int lateCalls;
+  }
+
   /** A call with what is known of its executions and its answer. Guarded by its own lock. */
   private static final class CallRecord {
     private final Call call;
@@ -147,6 +162,20 @@
     faultyUntilMillis.merge(replica, MonotonicClock.millis() + millis, Math::max);
   }
 
+  /** Records that a prompt part makes engines crash from now on. */
+  void poisonBegins(String part) {
+    poisons.put(part, new PoisonRecord());
+  }
+
+  /** Records that an engine is about to crash under a prompt part. */
+  void engineCrashed(String part) {
+    count("engineCrashes");
+    PoisonRecord poison = poisons.get(part);
+    synchronized (poison) {
+      poison.crashMillis.add(MonotonicClock.millis());
+    }
+  }
+
   /** Records that a configuration with the given limits is about to be stored. */
   void configurationStored(long timeoutMillis, long idleTimeoutMillis) {
     configurations.add(
@@ -220,6 +249,33 @@
         checkVersion(record, execution, text);
       }
       checkLeft(record, execution, text);
+      checkPoison(record, text);
+    }
+  }
+
+  private void checkPoison(CallRecord record, String text) {
+    PoisonRecord poison = poisons.get(record.call.part());
+    if (poison == null) {
+      return;
+    }
+    synchronized (poison) {
+      if (poison.crashMillis.size() < KNOWN_CRASHES) {
+        return;
+      }
+      long known = poison.crashMillis.get(KNOWN_CRASHES - 1);
+      if (MonotonicClock.millis() - known > Instance.CONTACT_MILLIS
+          && record.instance.isInContact(record.run)
+          && !wasStalledSince(known)
+          && ++poison.lateCalls > MAX_LATE_CALLS) {
+        violated(
+            Promise.POISON,
+            "%s with %s, %d ms after the fifth of %d crashes"
+                .formatted(
+                    text,
+                    record.call.part(),
+                    MonotonicClock.millis() - known,
+                    poison.crashMillis.size()));
+      }
     }
   }
 
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -71,11 +71,23 @@
         }
         millis += between(MIN_GAP_MILLIS, MAX_GAP_MILLIS);
       }
+      poisons();
       entries.removeIf(entry -> entry.atMillis() >= endMillis);
       entries.sort(Comparator.comparingLong(Entry::atMillis));
       return new Schedule(List.copyOf(entries));
     }
 
+    /** Prompt parts that crash engines, one after the other beside the other faults. */
+    private void poisons() {
+      millis = FIRST_MILLIS;
+      while (millis < endMillis) {
+        millis += between(2_000, 8_000);
+        long duration = between(8_000, 15_000);
+        add(0, new Fault.Poison(between(60, 200), duration));
+        millis += duration;
+      }
+    }
+
     private long between(long low, long high) {
       return low + random.nextLong(high - low);
     }
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -26,6 +27,7 @@
 import org.bulrushpier.rig.gateway.ReplicaFake;
 import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
 import org.bulrushpier.rig.gateway.ReplicaFake.Pace;
+import org.bulrushpier.rig.gateway.ReplicaFake.Poison;
 import org.bulrushpier.rig.proxy.ProxyLink;
 import org.bulrushpier.rig.site.Launcher;
 
@@ -52,6 +54,9 @@
   /** The time that an instance has from SIGTERM to its end, in seconds. */
   static final int SHUTDOWN_SECONDS = 8;
 
+  /** How long an engine that crashed is away, in milliseconds. */
+  private static final long AWAY_MILLIS = 2_000;
+
   private static final int SLOTS = 6;
   private static final Pace PACE = new Pace(40, 25, 250);
   private static final Pace SLOW_PACE = new Pace(400, 100, 250);
@@ -69,6 +74,8 @@
   private final Map<String, String> keys = new TreeMap<>();
   private final Set<ReplicaFake> leaving = ConcurrentHashMap.newKeySet();
   private final AtomicInteger foreignEntries = new AtomicInteger();
+  private final AtomicInteger poisons = new AtomicInteger();
+  private final AtomicBoolean isPoisoned = new AtomicBoolean();
   private int configuration;
   private int version = 1;
   private int storeOutages;
@@ -261,6 +268,7 @@
         Faults.sleep(f.millis());
         replicas.get(f.engine()).setPace(PACE);
       }
+      case Fault.Poison f -> poison(f.gapMillis(), f.millis());
       case Fault.DropConnections f -> {
         observer.replicaFaulty(replicas.get(f.replica()).id(), 0);
         replicas.get(f.replica()).dropConnections();
@@ -268,6 +276,50 @@
     }
   }
 
+  private void poison(long gapMillis, long millis) {
+    if (!isPoisoned.compareAndSet(false, true)) {
+      return;
+    }
+    String part = "poison" + poisons.incrementAndGet();
+    observer.poisonBegins(part);
+    for (ReplicaFake engine : replicas.subList(0, ENGINES)) {
+      engine.setCrashListener(
+          () -> {
+            observer.replicaFaulty(engine.id(), AWAY_MILLIS);
+            observer.engineCrashed(part);
+          });
+      engine.setPoison(new Poison(part, AWAY_MILLIS));
+    }
+    List<Thread> calls = new ArrayList<>();
+    for (int i = 0; i * gapMillis < millis; i++) {
+      Instance instance = instances.get(i % INSTANCES);
+      Client client = new Client(this, observer, part + "-" + i, false, i);
+      calls.add(Thread.ofVirtual().start(() -> callOnce(client, instance, part)));
+      Faults.sleep(gapMillis);
+    }
+    calls.forEach(SoakSite::join);
+    replicas.subList(0, ENGINES).forEach(engine -> engine.setPoison(new Poison("", 0)));
+    isPoisoned.set(false);
+  }
+
+  private static void callOnce(Client client, Instance instance, String part) {
+    try {
+      if (instance.isReady() && client.connect(instance)) {
+        client.call(CallerFake.Route.STREAM, part);
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void join(Thread thread) {
+    try {
+      thread.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private synchronized void changeOutages(int change) {
     storeOutages += change;
     instances.forEach(instance -> instance.recordStoreOutage(change > 0));
