Soak: a call whose prompt crashes engines may stay unanswered

That is as designed: it could only have crashed the engine. The check counted it as UNANSWERED; it no longer does for calls with a part that the soak itself makes crash engines. All other checks apply to them as before.

--- a/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -367,6 +367,7 @@
                 requested ->
                     requested != null && now - requested > SoakSite.CHANGE_MILLIS - RECALL_MILLIS);
     if (!record.executions.isEmpty()
+        && !poisons.containsKey(record.call.part())
         && !wasRecalled
         && !hasFault(record)
         && now - record.run.terminatedMillis() < GRACE_MILLIS) {
