Crashes are told with less work; no change of behaviour

What is told is put together and encoded once for all receivers of a round, not once for each. Whether the object in the store is still needed is asked of the state, not of a whole message built 40 times a second; whose turn it is to write is looked up only if there is something to write. An answer compares a counter, not two copies of the suspect parts. Parts told by others are adopted without a map between; two constants of one name have two names now.

Run: tests of poison, crash reports, membership and replicas' wishes, formatter and linter of all modules: passed.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
@@ -52,7 +52,7 @@
     }
     if (isWriteDue(isFleetComplete)) {
       write(now);
-    } else if (revision > 0 && context.poison().knowledge().isEmpty()) {
+    } else if (revision > 0 && context.poison().isEmpty()) {
       remove(now);
     }
   }
@@ -60,9 +60,9 @@
   private boolean isWriteDue(boolean isFleetComplete) {
     PoisonGuard guard = context.poison();
     boolean hasNewSuspects = guard.suspectChanges() != writtenSuspects;
-    boolean isResponsible = revision > 0 || guard.hasFirstTurn();
     boolean hasSeenChanges = guard.ownChanges() != writtenChanges;
-    return (hasNewSuspects && isResponsible) || (hasSeenChanges && !isFleetComplete);
+    return (hasSeenChanges && !isFleetComplete)
+        || (hasNewSuspects && (revision > 0 || guard.hasFirstTurn()));
   }
 
   private void write(long nowMillis) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -399,7 +399,7 @@
     Optional<Barred> barred = parts.check(attempts);
     if (barred.isPresent()) {
       race.running().stream()
-          .filter(attempt -> !attempt.isStarted())
+          .filter(attempt -> !attempt.inFlight.isStarted())
           .forEach(attempt -> attempt.cancel("barred"));
       if (race.isEmpty()) {
         giveUp(barred.get().reason(), barred.get().retryAfterMillis());
@@ -673,10 +673,6 @@
       context.upstreamPool().send(replica.entry().address(), outbound, maxIdle);
     }
 
-    private boolean isStarted() {
-      return inFlight.isStarted();
-    }
-
     /** Returns whether the request waits at an engine whose weights must no longer be used. */
     private boolean isExpired() {
       if (inFlight.isStarted() || request.prompt().isEmpty()) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -124,7 +124,7 @@
     exchangeMembers(nowMillis);
     askForWeights(nowMillis);
     if (gossip.isDue(context.poison().changes(), nowMillis)) {
-      gossip.receivers(membership.contacts(nowMillis)).forEach(this::tellCrashes);
+      tellCrashes(gossip.receivers(membership.contacts(nowMillis)));
     }
   }
 
@@ -140,10 +140,11 @@
     return membership.turn(key, MonotonicClock.millis());
   }
 
-  private void tellCrashes(Address to) {
+  private void tellCrashes(List<Address> receivers) {
     CrashKnowledge knowledge = context.poison().knowledge();
     if (!knowledge.isEmpty()) {
-      send(to, Codec.messagePack().write(new FleetMessage.Crashes(knowledge)));
+      byte[] bytes = Codec.messagePack().write(new FleetMessage.Crashes(knowledge));
+      receivers.forEach(receiver -> send(receiver, bytes));
     }
   }
 
@@ -170,7 +171,7 @@
           .ifPresent(
               partner -> {
                 sendMembers(partner, true, nowMillis);
-                tellCrashes(partner);
+                tellCrashes(List.of(partner));
               });
       if (instances != loggedInstances) {
         log.event("fleet", "instances", instances, "before", loggedInstances);
@@ -286,7 +287,7 @@
         members.addresses().forEach(address -> learned(sender, address, now));
         if (members.isReplyExpected()) {
           sendMembers(sender, false, now);
-          tellCrashes(sender);
+          tellCrashes(List.of(sender));
         }
       }
       case FleetMessage.WeightQuestion question ->
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/PoisonGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/PoisonGuard.java
@@ -68,9 +68,9 @@
 
   /** Records a sound answer to a request with the given shared parts. */
   void answered(Collection<String> shared) {
-    Set<String> before = parts.suspects();
+    long before = parts.suspectChanges();
     parts.answered(shared, MonotonicClock.millis());
-    if (!parts.suspects().equals(before)) {
+    if (parts.suspectChanges() != before) {
       ownChanges++;
     }
   }
@@ -85,6 +85,11 @@
     parts.learn(knowledge, MonotonicClock.millis());
   }
 
+  /** Returns whether there is nothing to tell other instances. */
+  boolean isEmpty() {
+    return parts.isEmpty();
+  }
+
   /** Returns what there is to tell other instances. */
   CrashKnowledge knowledge() {
     return parts.knowledge(MonotonicClock.millis());
--- a/library/src/main/java/org/bulrushpier/poison/PoisonInference.java
+++ b/library/src/main/java/org/bulrushpier/poison/PoisonInference.java
@@ -33,7 +33,7 @@
   static final int LEADING_CRASHES = 3;
 
   /** The crashes that make a part suspect even if others were there at all of them. */
-  static final int MAX_CRASHES = 5;
+  static final int TIED_CRASHES = 5;
 
   /** The crashes since its last sound answer that make a part suspect which has had one. */
   static final int CRASHES_AFTER_SOUND = 6;
@@ -81,7 +81,7 @@
     }
     Set<String> first = most(untested);
     int most = first.isEmpty() ? 0 : untested.get(first.iterator().next());
-    if (most >= MAX_CRASHES) {
+    if (most >= TIED_CRASHES) {
       return first;
     }
     Set<String> distinct = most >= LEADING_CRASHES ? withoutCompanions(crashes, first) : Set.of();
--- a/library/src/main/java/org/bulrushpier/poison/PoisonParts.java
+++ b/library/src/main/java/org/bulrushpier/poison/PoisonParts.java
@@ -365,6 +365,11 @@
     suspects.values().removeIf(s -> nowMillis - s.untilMillis > PROBATION_MILLIS);
   }
 
+  /** Returns whether there is nothing to tell other instances. */
+  public boolean isEmpty() {
+    return crashes.isEmpty() && suspects.isEmpty() && cleared.isEmpty();
+  }
+
   /**
    * Returns what there is to tell other instances, newest crashes first.
    *
@@ -448,11 +453,9 @@
     if (isNews) {
       infer(nowMillis);
     }
-    Map<String, Suspect> adopted = new HashMap<>();
     told.suspects().stream()
         .filter(part -> part.remainingMillis() >= -PROBATION_LEARNING_MILLIS)
-        .forEach(part -> adopted.put(part.part(), suspect(part, nowMillis)));
-    adopted.forEach(this::adopt);
+        .forEach(part -> adopt(part.part(), suspect(part, nowMillis)));
   }
 
   private static Suspect suspect(SuspectPart told, long nowMillis) {
