Replace review case 5: an entry of another writer is used

An entry without cold_left_ms that names another service for a known replica is used, and requests run at a service to which no route leads.

--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -26,16 +26,10 @@
     void ran(Engine engine, Http.Request request, List<Use> uses);
   }
 
-  /** Receives each order that arrives at the engine. */
-  interface OrderListener {
-    void arrived(Engine engine, JsonNode order);
-  }
-
   final String id;
   private final String service;
   private final Store store;
   private final Listener listener;
-  private OrderListener orderListener = (engine, order) -> {};
   private int version = 1;
   private long acceptedOrders;
   private boolean isChanging;
@@ -62,10 +56,6 @@
             .formatted(service, server.address(), SLOTS, BORN_MILLIS, version));
   }
 
-  synchronized void setOrderListener(OrderListener next) {
-    orderListener = next;
-  }
-
   private synchronized String report() {
     return """
         {"stage":"colocated","models":[{"name":"m0","version":%d,"adapters":[]}],"busy":%b,
@@ -76,7 +66,6 @@
 
   /** Accepts or refuses an order, and returns the status of the response. */
   private synchronized int order(JsonNode order) {
-    orderListener.arrived(this, order);
     int ordered = order.path("version").asInt();
     if (isChanging) {
       return 409;
--- a/review/standins/PlainReplica.java
+++ b/review/standins/PlainReplica.java
@@ -41,15 +41,25 @@
     this.store = store;
     this.workMillis = workMillis;
     this.listener = listener;
-    store.put("servers", id, entry());
+    register();
   }
 
-  private String entry() {
+  /** Writes the replica's entry. */
+  void register() {
+    store.put("servers", id, entry(service, "\"cold_left_ms\":0,"));
+  }
+
+  /** Returns what another writer may say of this replica, with a field missing. */
+  String entryWithoutColdLeft(String otherService) {
+    return entry(otherService, "");
+  }
+
+  private String entry(String statedService, String coldLeft) {
     return """
         {"service":"%s","address":"%s","zone":"norte","version":"1","slots":%d,"state":"ready",
-         "cold_left_ms":0,"seq":1,"born":%d,"stage":"colocated","models":[]}
+         %s"seq":1,"born":%d,"stage":"colocated","models":[]}
         """
-        .formatted(service, server.address(), SLOTS, BORN_MILLIS);
+        .formatted(statedService, server.address(), SLOTS, coldLeft, BORN_MILLIS);
   }
 
   /** Sets what may answer requests that have run in place of the replica. */
