--- a/review/standins/EndlessAnswer.java
+++ b/review/standins/EndlessAnswer.java
@@ -4,10 +4,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** A replica answers one request with bytes that are no answer to it and that do not end. */
+/** A replica answers three requests with bytes that are no answer to them and that do not end. */
 public final class EndlessAnswer extends Case {
 
   private static final long TIMEOUT_MILLIS = 1_500;
@@ -20,14 +23,21 @@
   private static final long TROUBLE_AT_MILLIS = 4_000;
   private static final long PLAY_MILLIS = 16_000;
 
-  /** The rate of the endless bytes, in bytes per millisecond: 800 Mbit/s. */
-  private static final long BYTES_PER_MILLI = 100_000;
+  /** Under 0.02 of the answers that the replica gives in all. */
+  private static final int ENDLESS_ANSWERS = 3;
+
+  /** How long the replica waits for the other requests, in milliseconds. */
+  private static final long GATHERING_MILLIS = 500;
+
+  /** The rate of the endless bytes of an answer, in bytes per millisecond: 400 Mbit/s. */
+  private static final long BYTES_PER_MILLI = 50_000;
 
   private final AtomicInteger sent = new AtomicInteger();
   private final AtomicInteger late = new AtomicInteger();
   private final AtomicInteger unanswered = new AtomicInteger();
   private final AtomicLong endlessBytes = new AtomicLong();
-  private volatile boolean isDue;
+  private final Semaphore due = new Semaphore(0);
+  private final CountDownLatch begun = new CountDownLatch(ENDLESS_ANSWERS);
   private volatile long end;
 
   @Override
@@ -60,7 +70,7 @@
           clients.add(Thread.ofVirtual().start(() -> callAgainAndAgain(gateway, name)));
         }
         Thread.sleep(TROUBLE_AT_MILLIS);
-        isDue = isTrouble;
+        due.release(isTrouble ? ENDLESS_ANSWERS : 0);
         Thread.sleep(2_000);
         for (int i = 0; i < 6; i++) {
           record.add("ready    %b", gateway.isReady());
@@ -85,16 +95,28 @@
     record.add("run      %s at %s", request.header("Attempt-Id"), replica.id);
   }
 
-  /** Answers the first request that is due with a response that names another one. */
+  /** Answers the first requests that are due with responses that name another one. */
   private boolean answerWithoutEnd(Http.Request request, Socket socket) throws IOException {
-    synchronized (this) {
-      if (!isDue) {
-        return false;
-      }
-      isDue = false;
+    if (!due.tryAcquire()) {
+      return false;
     }
-    record.add("endless  answer to %s begins", request.header("Attempt-Id"));
+    try {
+      begun.countDown();
+      begun.await(GATHERING_MILLIS, TimeUnit.MILLISECONDS);
+      Thread sender = new Thread(() -> sendWithoutEnd(request.header("Attempt-Id"), socket));
+      sender.setDaemon(true);
+      sender.start();
+      sender.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    throw new IOException("the caller closed the connection");
+  }
+
+  private void sendWithoutEnd(String id, Socket socket) {
+    record.add("endless  answer to %s begins", id);
     byte[] bytes = "1\r\nx\r\n".repeat(10_000).getBytes(StandardCharsets.US_ASCII);
+    long sent = 0;
     try {
       Http.write(
           socket,
@@ -102,17 +124,15 @@
       long start = System.nanoTime();
       while (true) {
         socket.getOutputStream().write(bytes);
-        long sent = endlessBytes.addAndGet(bytes.length);
+        sent += bytes.length;
+        endlessBytes.addAndGet(bytes.length);
         long ahead = sent / BYTES_PER_MILLI - (System.nanoTime() - start) / 1_000_000;
         if (ahead > 0) {
           Thread.sleep(ahead);
         }
       }
-    } catch (IOException e) {
-      record.add("endless  answer ends, as the caller closed: %d bytes", endlessBytes.get());
-      throw e;
-    } catch (InterruptedException e) {
-      throw new IOException(e);
+    } catch (IOException | InterruptedException e) {
+      record.add("endless  answer to %s ends after %d bytes: the caller closed", id, sent);
     }
   }
 
--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -8,7 +8,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /** A process of the deploy file's role, with settings like those of a small deployment. */
 final class Gateway implements AutoCloseable {
@@ -22,6 +24,16 @@
     Runtime.getRuntime().addShutdownHook(new Thread(Gateway::killAll));
   }
 
+  /** The loopback hosts of machines, which all use the same ports. */
+  private static final List<String> HOSTS =
+      List.of("127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5");
+
+  private static final int SEEDS = 3;
+  private static final int PORTS = 5;
+
+  /** The first of the ports, which are free on all hosts. */
+  private static final int FIRST_PORT = freePorts();
+
   final String name;
   final String callers;
   private final String ready;
@@ -29,13 +41,19 @@
   private final File output;
   private Process process;
 
-  private Gateway(String name, String store, Path folder, int callers, int ready, int first)
+  private Gateway(String name, int machine, int machines, String store, Path folder)
       throws IOException {
     this.name = name;
-    this.callers = "127.0.0.1:" + callers;
-    this.ready = "127.0.0.1:" + ready;
-    settings = folder.resolve(name + "-" + callers + ".ini");
-    output = folder.resolve(name + "-" + callers + ".log").toFile();
+    String host = HOSTS.get(machine);
+    callers = host + ":" + FIRST_PORT;
+    ready = host + ":" + (FIRST_PORT + 1);
+    settings = folder.resolve(name + ".ini");
+    output = folder.resolve(name + ".log").toFile();
+    String seeds =
+        HOSTS.stream()
+            .limit(Math.min(machines, SEEDS))
+            .map(seed -> seed + ":" + (FIRST_PORT + 2))
+            .collect(Collectors.joining(","));
     Files.writeString(
         settings,
         """
@@ -44,10 +62,10 @@
         domain = norte
         caller-address = %s
         ready-address = %s
-        metrics-address = 127.0.0.1:%d
+        metrics-address = %s:%d
         platform-address = %s
-        fleet-address = 127.0.0.1:%d
-        seeds = 127.0.0.1:%d
+        fleet-address = %s:%d
+        seeds = %s
         key-revocation-ms = 5000
         shutdown-seconds = 8
         retry-ratio = 0.2
@@ -56,13 +74,24 @@
         order-lease-ms = 3000
         weights-change-ms = 8000
         """
-            .formatted(name, this.callers, this.ready, first, store, first + 1, first + 1));
+            .formatted(
+                name, callers, ready, host, FIRST_PORT + 3, store, host, FIRST_PORT + 4, seeds));
   }
 
-  /** Starts a process and waits until it is ready. */
+  /** Starts the process of a deployment's only machine, and waits until it is ready. */
   static Gateway start(String name, String store, Path folder) throws Exception {
-    int[] ports = freePorts();
-    Gateway gateway = new Gateway(name, store, folder, ports[0], ports[1], ports[2]);
+    return start(name, 0, 1, store, folder);
+  }
+
+  /**
+   * Starts the process of one of several machines, and waits until it is ready.
+   *
+   * @param machine the number of the machine, from 0
+   * @param machines the number of machines, at most 4
+   */
+  static Gateway start(String name, int machine, int machines, String store, Path folder)
+      throws Exception {
+    Gateway gateway = new Gateway(name, machine, machines, store, folder);
     synchronized (STARTED) {
       STARTED.add(gateway);
     }
@@ -148,26 +177,26 @@
     throw new CannotRun("deploy/system.toml has no run line");
   }
 
-  /** Returns free ports: for callers, for the readiness check, and the first of two in a row. */
-  private static int[] freePorts() throws IOException {
-    try (ServerSocket a = loopback(0); ServerSocket b = loopback(0)) {
-      for (int attempt = 0; attempt < 50; attempt++) {
-        try (ServerSocket c = loopback(0)) {
-          int port = c.getLocalPort();
-          try (DatagramSocket d =
-              new DatagramSocket(port + 1, InetAddress.getByName("127.0.0.1"))) {
-            return new int[] {a.getLocalPort(), b.getLocalPort(), port};
-          } catch (IOException e) {
-            continue;
-          }
-        }
+  private static int freePorts() {
+    for (int attempt = 0; attempt < 200; attempt++) {
+      int first = ThreadLocalRandom.current().nextInt(20_000, 30_000);
+      if (HOSTS.stream().allMatch(host -> areFree(host, first))) {
+        return first;
       }
     }
     throw new CannotRun("no free ports");
   }
 
-  private static ServerSocket loopback(int port) throws IOException {
-    return new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
+  private static boolean areFree(String host, int first) {
+    for (int port = first; port < first + PORTS; port++) {
+      try (ServerSocket tcp = new ServerSocket(port, 1, InetAddress.getByName(host));
+          DatagramSocket udp = new DatagramSocket(port, InetAddress.getByName(host))) {
+        continue;
+      } catch (IOException e) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /** The case cannot be run. */
--- a/review/standins/LargeBodies.java
+++ b/review/standins/LargeBodies.java
@@ -60,8 +60,9 @@
               record.add("run      %s at %s", request.header("Attempt-Id"), replica.id);
             }));
       }
-      for (int i = 1; i <= MACHINES; i++) {
-        machines.add(Gateway.start("front-" + i, store.address(), scratch));
+      for (int i = 0; i < MACHINES; i++) {
+        machines.add(
+            Gateway.start("front-" + (i + 1), i, MACHINES, store.address(), scratch));
       }
       return playWithMachines();
     }
