--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -3,8 +3,8 @@
 import java.util.stream.Stream;
 
 /**
- * Runs a case: {@code Case NAME FOLDER}. Exits with 1 if the rule was broken, 0 if it held, and 2 if
- * the case could not run. With TROUBLE=0 in the environment the disruption is left out.
+ * Runs a case: {@code Case NAME FOLDER TROUBLE}. Exits with 1 if the rule was broken, 0 if it held, and 2 if
+ * the case could not run. If TROUBLE is 0, the disruption is left out.
  */
 public abstract class Case {
   Record record;
@@ -17,7 +17,7 @@
   public static void main(String[] arguments) throws Exception {
     Case played = (Case) Class.forName(arguments[0]).getDeclaredConstructor().newInstance();
     played.record = new Record(Path.of(arguments[1], "record.txt"));
-    played.isTrouble = !"0".equals(System.getenv("TROUBLE"));
+    played.isTrouble = !"0".equals(arguments[2]);
     played.scratch = Files.createTempDirectory("review");
     int status = 2;
     try {
