Give each set of isolated customers a shared cache namespace of its own

Cause: only the isolated customer's salt changed. Its earlier parts stayed in the namespace that all others went on using, on engines and in cache stores.

Change: the shared namespace carries a digest of the set of isolated customers, which every instance computes from the configuration alone. The salt follows the configuration at the moment of sending.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -10,6 +10,8 @@
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.WeightPreference;
+import org.bulrushpier.site.CacheNamespaces;
+import org.bulrushpier.site.Configuration;
 import org.bulrushpier.site.ConfiguredRoute;
 import org.bulrushpier.site.KeyHolder;
 import org.bulrushpier.site.Service;
@@ -122,9 +124,18 @@
         context.weights().target(model), Moment.now(), context.settings().weightsChangeMillis());
   }
 
-  /** Returns the salt of the cache keys of the request's parts under a version of the weights. */
+  /**
+   * Returns the salt of the cache keys of the request's parts under a version of the weights. The
+   * customer may have been isolated since the request arrived.
+   */
   String salt(int version) {
     String model = prompt.map(PromptShape::model).orElse("");
-    return new CacheSalt(model, version, holder.isIsolated() ? holder.customer() : "").text();
+    CacheNamespaces namespaces =
+        context
+            .configuration()
+            .configuration()
+            .map(Configuration::cacheNamespaces)
+            .orElse(CacheNamespaces.SHARED_BY_ALL);
+    return new CacheSalt(model, version, namespaces.namespace(holder.customer())).text();
   }
 }
--- a/library/src/main/java/org/bulrushpier/placing/CacheSalt.java
+++ b/library/src/main/java/org/bulrushpier/placing/CacheSalt.java
@@ -4,22 +4,23 @@
  * Namespace under which an engine or a store caches prompt parts, so that only prompts that may use
  * a part can find it.
  *
- * <p>Parts computed with different weight versions never share a salt. Neither do the parts of an
- * isolated customer and those of any other customer.
+ * <p>Parts computed with different weight versions never share a salt. Neither do the parts of
+ * customers with different namespaces.
  *
  * <p>Immutable and thread-safe.
  *
  * @param model the name of the model
  * @param version the version of its weights
- * @param customer the isolated customer, or empty for parts shared between customers
+ * @param namespace the namespace of the customers that share the parts, see {@link
+ *     org.bulrushpier.site.CacheNamespaces}
  */
-public record CacheSalt(String model, int version, String customer) {
+public record CacheSalt(String model, int version, String namespace) {
 
   private static final char SEPARATOR = '/';
 
-  /** Returns the text form, {@code model/version/customer}. */
+  /** Returns the text form, {@code model/version/namespace}. */
   public String text() {
-    return model + SEPARATOR + version + SEPARATOR + customer;
+    return model + SEPARATOR + version + SEPARATOR + namespace;
   }
 
   /**
--- a/library/src/main/java/org/bulrushpier/site/Configuration.java
+++ b/library/src/main/java/org/bulrushpier/site/Configuration.java
@@ -22,6 +22,7 @@
   private final Map<String, List<ConfiguredRoute>> routesByHost = new HashMap<>();
   private final Map<String, Service> services;
   private final Map<String, KeyHolder> holders;
+  private final CacheNamespaces cacheNamespaces;
   private final CallerLimits limits;
 
   private Configuration(
@@ -29,10 +30,12 @@
       List<ConfiguredRoute> routes,
       Map<String, Service> services,
       Map<String, KeyHolder> holders,
+      CacheNamespaces cacheNamespaces,
       CallerLimits limits) {
     this.version = version;
     this.services = Map.copyOf(services);
     this.holders = Map.copyOf(holders);
+    this.cacheNamespaces = cacheNamespaces;
     this.limits = limits;
     for (ConfiguredRoute route : routes) {
       routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
@@ -49,6 +52,7 @@
    * @param routes the routes
    * @param services the services by name
    * @param holders the holders of API keys by key
+   * @param cacheNamespaces the namespaces of cached prompt parts
    * @param limits the limits on callers' requests
    * @return the configuration
    */
@@ -57,8 +61,9 @@
       List<ConfiguredRoute> routes,
       Map<String, Service> services,
       Map<String, KeyHolder> holders,
+      CacheNamespaces cacheNamespaces,
       CallerLimits limits) {
-    return new Configuration(version, routes, services, holders, limits);
+    return new Configuration(version, routes, services, holders, cacheNamespaces, limits);
   }
 
   /** Returns the version, which increases with each change. */
@@ -108,6 +113,11 @@
     return Optional.ofNullable(holders.get(key));
   }
 
+  /** Returns the namespaces within which customers share cached prompt parts. */
+  public CacheNamespaces cacheNamespaces() {
+    return cacheNamespaces;
+  }
+
   /** Returns the limits on callers' requests. */
   public CallerLimits limits() {
     return limits;
--- a/library/src/main/java/org/bulrushpier/site/KeyHolder.java
+++ b/library/src/main/java/org/bulrushpier/site/KeyHolder.java
@@ -7,12 +7,11 @@
  *
  * @param customer the name of the customer
  * @param priority the customer's priority, which overrides that of the route, or -1 if it has none
- * @param isIsolated whether the customer's cached prompts must not be shared with other customers
  */
-public record KeyHolder(String customer, int priority, boolean isIsolated) {
+public record KeyHolder(String customer, int priority) {
 
   /** The holder used for requests on public routes. */
-  public static final KeyHolder ANONYMOUS = new KeyHolder("", -1, false);
+  public static final KeyHolder ANONYMOUS = new KeyHolder("", -1);
 
   /**
    * Returns the priority of a request.
--- a/library/src/test/java/org/bulrushpier/site/ConfigurationTest.java
+++ b/library/src/test/java/org/bulrushpier/site/ConfigurationTest.java
@@ -28,13 +28,14 @@
   private static Configuration version(long version, String... keys) {
     Map<String, KeyHolder> holders = new java.util.HashMap<>();
     for (String key : keys) {
-      holders.put(key, new KeyHolder("surco", 1, false));
+      holders.put(key, new KeyHolder("surco", 1));
     }
     return Configuration.of(
         version,
         List.of(route("short", "/a/"), route("long", "/a/b/")),
         Map.of(),
         holders,
+        CacheNamespaces.SHARED_BY_ALL,
         CallerLimits.DEFAULT);
   }
 
