Tell a dead connection to the store from an outage of the store

Cause: any failed call of a watch counted as an outage, during which entries lapse, so that a removal was not heeded for 2 s. The repeated call could take another dead connection from the pool.

Change: a late or failed call is made once more on a new connection; only if that fails too, the store is unavailable. A response that cannot be read is no outage either. A call without a response closes the idle connections to its address. A dead watch of the replicas is replaced 2.8 s after it was sent, within the contact time.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
@@ -62,6 +62,18 @@
     groups.computeIfAbsent(address, Group::new).send(request, maxIdleMillis);
   }
 
+  /**
+   * Closes the idle connections to an address.
+   *
+   * @param address the address
+   */
+  public void closeIdle(Address address) {
+    Group group = groups.get(address);
+    if (group != null) {
+      group.closeIdle();
+    }
+  }
+
   /**
    * Returns the number of connections opened since the start, including failed attempts.
    *
@@ -167,6 +179,12 @@
       idle.remove(connection);
     }
 
+    private void closeIdle() {
+      for (OutboundConnection connection : idle.toArray(new OutboundConnection[0])) {
+        connection.drop();
+      }
+    }
+
     private void sweep(long now) {
       for (OutboundConnection connection : idle.toArray(new OutboundConnection[0])) {
         if (now - connection.idleSinceMillis() >= connection.idleMillis()) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
@@ -86,6 +86,13 @@
 
   @Override
   public void failed(String detail) {
+    context
+        .log()
+        .event("store-response-unread", "kind", StoreFormat.CONFIGURATIONS, "detail", detail);
+  }
+
+  @Override
+  public void unavailable(String detail) {
     if (!isUnavailable) {
       isUnavailable = true;
       context.log().event("store-away", "kind", StoreFormat.CONFIGURATIONS, "detail", detail);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -75,6 +75,33 @@
     send(address, "GET", target, fields, new byte[0], timeoutMillis, consumer);
   }
 
+  /**
+   * Makes a GET call that reads from the store; the consumer is called once unless it is cancelled.
+   *
+   * @param maxIdleMillis the longest time that a reused connection may have been idle, in
+   *     milliseconds
+   * @return a handle that cancels the call
+   */
+  Handle read(
+      Address address,
+      String target,
+      long timeoutMillis,
+      long maxIdleMillis,
+      Consumer<Outcome> consumer) {
+    byte[] body = new byte[0];
+    HttpFields fields = StoreFormat.fields(address.toString(), 0);
+    Call call = new Call(() -> false, consumer);
+    OutboundRequest outbound = OutboundRequest.of("GET", target, fields, body, call);
+    send(address, outbound, call, timeoutMillis, maxIdleMillis);
+    return call;
+  }
+
+  /** A call that can be cancelled. Guarded by the loop's lock. */
+  interface Handle {
+    /** Cancels the call, whose consumer is not called any more; has no effect after the call. */
+    void cancel();
+  }
+
   /**
    * Sends an order that only the expected replica accepts; the consumer is called once. The order
    * fails if it is obsolete when a connection for it has been opened.
@@ -89,7 +116,8 @@
       Consumer<Outcome> consumer) {
     HttpFields fields = EngineFormat.fields(address.toString(), replica, body.length);
     Call call = new Call(isObsolete, consumer);
-    send(address, OutboundRequest.of("POST", target, fields, body, call), call, timeoutMillis);
+    OutboundRequest outbound = OutboundRequest.of("POST", target, fields, body, call);
+    send(address, outbound, call, timeoutMillis, ConnectionPool.ANY_IDLE_TIME);
   }
 
   private void send(
@@ -101,10 +129,16 @@
       long timeoutMillis,
       Consumer<Outcome> consumer) {
     Call call = new Call(() -> false, consumer);
-    send(address, OutboundRequest.of(method, target, fields, body, call), call, timeoutMillis);
+    OutboundRequest outbound = OutboundRequest.of(method, target, fields, body, call);
+    send(address, outbound, call, timeoutMillis, ConnectionPool.ANY_IDLE_TIME);
   }
 
-  private void send(Address address, OutboundRequest outbound, Call call, long timeoutMillis) {
+  private void send(
+      Address address,
+      OutboundRequest outbound,
+      Call call,
+      long timeoutMillis,
+      long maxIdleMillis) {
     call.outbound = outbound;
     call.timer =
         loop.after(
@@ -112,14 +146,16 @@
             () -> {
               if (!call.isDone) {
                 outbound.cancel();
+                // Connections that were opened before may have failed without notice, too.
+                pool.closeIdle(address);
                 call.failed("no response within " + timeoutMillis + " ms");
               }
             });
-    pool.send(address, outbound, ConnectionPool.ANY_IDLE_TIME);
+    pool.send(address, outbound, maxIdleMillis);
   }
 
   /** A call in progress. */
-  private static final class Call implements OutboundRequest.Listener {
+  private static final class Call implements OutboundRequest.Listener, Handle {
     private final BooleanSupplier isObsolete;
     private final Consumer<Outcome> consumer;
     private final Moment sent = Moment.now();
@@ -134,6 +170,15 @@
       this.consumer = consumer;
     }
 
+    @Override
+    public void cancel() {
+      if (!isDone) {
+        isDone = true;
+        timer.cancel();
+        outbound.cancel();
+      }
+    }
+
     @Override
     public boolean isObsolete() {
       return isObsolete.getAsBoolean();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
@@ -154,10 +154,17 @@
   }
 
   @Override
-  public void failed(String detail) {
+  public void unavailable(String detail) {
     // The watch of the configuration logs an outage of the store.
   }
 
+  @Override
+  public void failed(String detail) {
+    context
+        .log()
+        .event("store-response-unread", "kind", StoreFormat.CRASH_REPORTS, "detail", detail);
+  }
+
   private void learn(StoreObject value) {
     if (value.name().equals(name())) {
       revision = Math.max(revision, value.revision());
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
@@ -109,7 +109,12 @@
   }
 
   @Override
-  public void failed(String detail) {
+  public void unavailable(String detail) {
     context.replicas().markStoreUnavailable();
   }
+
+  @Override
+  public void failed(String detail) {
+    context.logChange("replicas-not-read", "-", detail);
+  }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -130,10 +130,15 @@
   }
 
   @Override
-  public void failed(String detail) {
+  public void unavailable(String detail) {
     // The watch of the configuration logs an outage of the store; the lease expires by itself.
   }
 
+  @Override
+  public void failed(String detail) {
+    context.log().event("store-response-unread", "kind", StoreFormat.LEASES, "detail", detail);
+  }
+
   private void observe(StoreObject value, boolean isRemoved) {
     if (isRemoved) {
       return;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -4,12 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.bulrushpier.Address;
 import org.bulrushpier.Moment;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
+import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -18,6 +20,9 @@
  * Watches one kind of object in the platform's metadata store: lists all objects first, then
  * watches for changes from the revision of the list.
  *
+ * <p>A failed connection is no outage of the store, during which entries lapse: the listener is
+ * told of an outage only if a second, new connection yields no response either.
+ *
  * <p>A watch that is still waiting does not show that the known state is current, so watches are
  * short. Each kind has its own timing, which weighs the age that the known state may reach against
  * the number of calls that all instances make together. The listener receives the result of each
@@ -48,7 +53,10 @@
      */
     void changed(List<Event> events, Moment sent, Moment changedAfter);
 
-    /** A call to the store failed. */
+    /** The store gave no response on any connection, or refused to serve this instance. */
+    void unavailable(String detail);
+
+    /** The store's response could not be read or applied; the objects are listed again. */
     void failed(String detail);
   }
 
@@ -75,6 +83,12 @@
    */
   private static final long RESPONSE_MARGIN_MILLIS = 700;
 
+  /**
+   * The time after the end of its wait from which on the response of a watch is late, in
+   * milliseconds. A dead connection must be noticed before the instance counts as in touch again.
+   */
+  private static final long LATE_MILLIS = 300;
+
   /** Timeout of the first call after a failure, in milliseconds. */
   private static final long PROBE_TIMEOUT_MILLIS = 600;
 
@@ -106,6 +120,7 @@
 
   private long backoffMillis = MIN_BACKOFF_MILLIS;
   private boolean isProbing = true;
+  private boolean isUnavailable;
 
   StoreWatch(
       EventLoop loop,
@@ -139,13 +154,13 @@
       values.clear();
       listSentAt = Moment.now();
     }
-    client.call(
-        address.get(),
-        "GET",
-        StoreFormat.list(kind, after),
-        new byte[0],
-        PROBE_TIMEOUT_MILLIS + RESPONSE_MARGIN_MILLIS,
-        outcome -> received(() -> pageReceived(after, outcome)));
+    call(
+        new StoreCall.Plan(
+            waitMillis -> StoreFormat.list(kind, after),
+            0,
+            PROBE_TIMEOUT_MILLIS,
+            PROBE_TIMEOUT_MILLIS + RESPONSE_MARGIN_MILLIS),
+        answer -> received(() -> pageReceived(after, answer.outcome())));
   }
 
   /**
@@ -206,14 +221,25 @@
 
   private void watch() {
     long wait = isProbing ? 0 : timing.waitMillis();
-    long limit = isProbing ? PROBE_TIMEOUT_MILLIS : timing.waitMillis() + RESPONSE_MARGIN_MILLIS;
-    client.call(
+    long limit = isProbing ? PROBE_TIMEOUT_MILLIS : RESPONSE_MARGIN_MILLIS;
+    call(
+        new StoreCall.Plan(
+            waitMillis -> StoreFormat.watch(kind, revision, waitMillis), wait, LATE_MILLIS, limit),
+        answer -> received(() -> changesReceived(answer.waitMillis(), answer.outcome())));
+  }
+
+  /** Makes a call. While the store is unavailable, one connection per call is enough. */
+  private void call(StoreCall.Plan plan, Consumer<StoreCall.Answer> consumer) {
+    if (!isUnavailable) {
+      StoreCall.send(loop, client, address.get(), plan, consumer);
+      return;
+    }
+    client.read(
         address.get(),
-        "GET",
-        StoreFormat.watch(kind, revision, wait),
-        new byte[0],
-        limit,
-        outcome -> received(() -> changesReceived(wait, outcome)));
+        plan.target().apply(plan.waitMillis()),
+        plan.waitMillis() + plan.limitMillis(),
+        ConnectionPool.NEW_CONNECTION,
+        outcome -> consumer.accept(new StoreCall.Answer(plan.waitMillis(), outcome)));
   }
 
   private Runnable changesReceived(long waitMillis, ControlClient.Outcome outcome)
@@ -256,16 +282,23 @@
 
   private void succeeded() {
     isProbing = false;
+    isUnavailable = false;
     backoffMillis = MIN_BACKOFF_MILLIS;
   }
 
   private Runnable failed(ControlClient.Outcome outcome) {
-    return failed(outcome.status() > 0 ? "status " + outcome.status() : outcome.detail());
+    isUnavailable = true;
+    listener.unavailable(outcome.status() > 0 ? "status " + outcome.status() : outcome.detail());
+    return retryAfterPause();
   }
 
   private Runnable failed(String detail) {
-    isProbing = true;
     listener.failed(detail);
+    return retryAfterPause();
+  }
+
+  private Runnable retryAfterPause() {
+    isProbing = true;
     long pause = backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis);
     backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
     return () -> loop.after(pause, this::next);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
@@ -102,6 +102,11 @@
 
   @Override
   public void failed(String detail) {
+    context.log().event("store-response-unread", "kind", StoreFormat.WEIGHTS, "detail", detail);
+  }
+
+  @Override
+  public void unavailable(String detail) {
     if (!isUnavailable) {
       isUnavailable = true;
       context.log().event("store-away", "kind", StoreFormat.WEIGHTS, "detail", detail);
--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bulrushpier.Address;
 import org.bulrushpier.Moment;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
@@ -30,6 +31,10 @@
 class StoreWatchTest {
 
   private static final String A = object("a");
+
+  /** In place of a response: the connection falls silent. */
+  private static final String SILENCE = "silence";
+
   private static final String B = object("b");
 
   private final EventLoop loop = EventLoop.start();
@@ -37,6 +42,7 @@
   private final BlockingQueue<String> responses = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> deliveries = new LinkedBlockingQueue<>();
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+  private final CountDownLatch isSilenceOver = new CountDownLatch(1);
   private HttpServer store;
 
   /** Records what is delivered; fails for the first object named "fault". */
@@ -71,6 +77,11 @@
       }
     }
 
+    @Override
+    public void unavailable(String detail) {
+      deliveries.add("unavailable");
+    }
+
     @Override
     public void failed(String detail) {
       deliveries.add("failed");
@@ -84,7 +95,11 @@
         "/",
         exchange -> {
           requests.add(exchange.getRequestURI().getRawQuery() + "");
-          byte[] body = nextResponse().getBytes(StandardCharsets.UTF_8);
+          String response = nextResponse();
+          if (response.equals(SILENCE)) {
+            awaitEndOfTest();
+          }
+          byte[] body = response.getBytes(StandardCharsets.UTF_8);
           exchange.sendResponseHeaders(200, body.length);
           exchange.getResponseBody().write(body);
           exchange.close();
@@ -109,17 +124,30 @@
     }
   }
 
+  private void awaitEndOfTest() {
+    try {
+      isSilenceOver.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @AfterEach
   void stop() {
     loop.stop();
+    isSilenceOver.countDown();
     threads.shutdownNow();
     store.stop(0);
   }
 
   private void startWatch(Throwable fault) throws InterruptedException {
+    startWatch(fault, 10_000);
+  }
+
+  private void startWatch(Throwable fault, long waitMillis) throws InterruptedException {
     Address address = new Address("127.0.0.1", store.getAddress().getPort());
     ControlClient client = new ControlClient(loop, ConnectionPool.of(loop, 1_000));
-    StoreWatch.Timing timing = new StoreWatch.Timing(10_000, 0);
+    StoreWatch.Timing timing = new StoreWatch.Timing(waitMillis, 0);
     StoreWatch watch =
         new StoreWatch(loop, client, () -> address, "servers", timing, new Recorder(fault));
     // Loads the classes that the watch needs, which must not count towards its timeouts.
@@ -235,6 +263,36 @@
     expect("failed", "failed", "listed[a, b]");
   }
 
+  /** A watch that fell silent was taken for an outage of the store, during which entries lapse. */
+  @Test
+  void silentConnectionIsNoOutageOfTheStore() throws InterruptedException {
+    responses.addAll(List.of(page(3, false, A), SILENCE, change(4, B)));
+    startWatch(null, 500);
+
+    expect("listed[a]", "changed[b]");
+  }
+
+  @Test
+  void storeThatIsSilentOnNewConnectionsIsUnavailable() throws InterruptedException {
+    responses.addAll(List.of(page(3, false, A), SILENCE, SILENCE, change(4, B)));
+    startWatch(null, 500);
+
+    expect("listed[a]", "unavailable", "changed[b]");
+  }
+
+  /** The change is known a contact time (3 s) after the silence at the latest. */
+  @Test
+  void silentConnectionIsReplacedWithinContactTime() throws InterruptedException {
+    responses.addAll(List.of(page(3, false, A), SILENCE, change(4, B)));
+    startWatch(null, 2_500);
+    expect("listed[a]");
+    long listedMillis = MonotonicClock.millis();
+
+    expect("changed[b]");
+
+    assertThat(MonotonicClock.millis() - listedMillis).isLessThan(3_000);
+  }
+
   private static Moment at(long millis) {
     return new Moment(millis, millis);
   }
