Keep all bytes of messages within one budget below the heap

Cause: each message had a limit, their sum had none, and copies doubled it.

Change: ByteBudget, 45% of the heap, with a ceiling for each use that is higher the later the use comes in the life of a request. A body takes its room as a whole before it is read, waits up to 0.5 s, and is refused with 503 then. A response of known length waits unread; of those without a length the largest gives way. Unread output and control calls count, too. Bytes are kept in segments and written without a copy, in small pieces. What Exchange kept of a response is in a class of its own, ResponseBody.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -1,9 +1,10 @@
 package org.bulrushpier.daemon.net;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.function.ToLongFunction;
 import org.bulrushpier.MonotonicClock;
+import org.bulrushpier.limit.ByteBudget;
 import org.bulrushpier.site.CallerLimits;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
@@ -31,6 +32,12 @@
  */
 public final class CallerConnection extends HttpConnection {
 
+  /** How long a request waits for room before it is refused, in milliseconds. */
+  private static final long ROOM_WAIT_MILLIS = 500;
+
+  /** The memory that a header field takes beside its bytes, roughly. */
+  private static final int FIELD_BYTES = 128;
+
   /**
    * Bytes of pipelined requests buffered while a request is being answered, beyond which no more
    * are read. The end of the connection is not noticed then.
@@ -76,6 +83,16 @@
       return CallerLimits.DEFAULT;
     }
 
+    /**
+     * Returns the header fields of the response to a request that was not read because there is no
+     * room for it. It must state that the request has not run.
+     *
+     * @return the fields
+     */
+    default HttpFields noRoomFields() {
+      return HttpFields.EMPTY;
+    }
+
     /**
      * Returns whether responses should ask callers to close their connections.
      *
@@ -89,7 +106,16 @@
   private final Handler handler;
   private HttpParser parser;
   private int parserHeaderBytes;
-  private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+
+  /** The bytes of the request from its first one to the end of its response. */
+  private final ByteBudget.Account kept;
+
+  private final MessageBuffer body;
+  private final ByteBudget.Account keptAhead;
+  private final ByteBudget.Account keptOutput;
+  private int fieldBytes;
+  private boolean isHeadComplete;
+  private boolean isAwaitingRoom;
   private ByteBuffer pipelined;
   private HttpFields.Mutable fields = HttpFields.build();
   private String method;
@@ -108,6 +134,11 @@
   CallerConnection(EventLoop loop, EndPoint endPoint, Handler handler) {
     super(loop, endPoint);
     this.handler = handler;
+    ByteBudget budget = loop.budget();
+    kept = budget.open(ByteBudget.Use.REQUEST);
+    body = MessageBuffer.of(kept, Integer.MAX_VALUE);
+    keptAhead = budget.open(ByteBudget.Use.REQUEST);
+    keptOutput = budget.openEvictable(ByteBudget.Use.OUTPUT, this::evictOutput);
     createParser(handler.limits().headerBytes());
   }
 
@@ -154,6 +185,19 @@
     complete();
   }
 
+  /**
+   * Sends a complete response without copying its body.
+   *
+   * @param status the status code
+   * @param responseFields the header fields, without framing
+   * @param content the body, whose bytes must not be changed any more
+   */
+  public void respond(int status, HttpFields responseFields, List<ByteBuffer> content) {
+    start(status, responseFields, content.stream().mapToLong(ByteBuffer::remaining).sum());
+    content.forEach(this::write);
+    complete();
+  }
+
   /**
    * Starts a response.
    *
@@ -200,6 +244,7 @@
     }
     isResponding = false;
     attachment = null;
+    body.release();
     if (!isPersistent) {
       closeAfterWrite();
     } else if (isParsing) {
@@ -219,6 +264,7 @@
     if (pipelined != null) {
       ByteBuffer bytes = pipelined;
       pipelined = null;
+      keptAhead.close();
       received(bytes);
     }
     if (pipelined == null) {
@@ -233,7 +279,7 @@
     loop.after(
         0,
         () -> {
-          if (!isResponding && !isClosing()) {
+          if (!isResponding && !isAwaitingRoom && !isClosing()) {
             readPipelined();
           }
         });
@@ -276,7 +322,7 @@
   void received(ByteBuffer bytes) {
     long endMillis = MonotonicClock.millis() + MAX_PIPELINED_MILLIS;
     while (bytes.hasRemaining() && !isClosing()) {
-      if (isResponding) {
+      if (isResponding || isAwaitingRoom) {
         bufferPipelined(bytes);
         return;
       }
@@ -287,8 +333,12 @@
         return;
       }
       isParsing = true;
+      int unparsed = bytes.remaining();
       parser.parseNext(bytes);
       isParsing = false;
+      if (!isHeadComplete) {
+        countUnfinishedHead(unparsed - bytes.remaining());
+      }
       if (isParserResetPending) {
         isParserResetPending = false;
         readNextRequest();
@@ -300,6 +350,66 @@
     }
   }
 
+  /** Counts what was read of a head, and reads on only when there is room for it. */
+  private void countUnfinishedHead(int bytes) {
+    boolean hadRoom = kept.force(bytes + fieldBytes);
+    fieldBytes = 0;
+    if (!hadRoom && !isClosing() && !kept.growOrWait(0, this::roomGranted)) {
+      awaitRoom();
+    }
+  }
+
+  /** Reads no more until there is room, for a limited time. */
+  private void awaitRoom() {
+    isAwaitingRoom = true;
+    pauseReading();
+    stopTimer();
+    timer = loop.after(ROOM_WAIT_MILLIS, this::refuseForLackOfRoom);
+  }
+
+  private void roomGranted() {
+    if (isAwaitingRoom && !isClosing()) {
+      isAwaitingRoom = false;
+      startTimer(
+          isHeadComplete ? CallerLimits::idleTimeoutMillis : CallerLimits::headerTimeoutMillis);
+      readPipelined();
+    }
+  }
+
+  private void refuseForLackOfRoom() {
+    if (!isResponding && !isClosing()) {
+      log.info(
+          "net: request refused, as {} of {} bytes for messages are taken.",
+          loop.budget().used(),
+          loop.budget().capacity());
+      refuse(HttpStatus.SERVICE_UNAVAILABLE_503, handler.noRoomFields());
+    }
+  }
+
+  private void evictOutput() {
+    log.info(
+        "net: {} has not read {} bytes and was closed, as there is no more room.",
+        getEndPoint().getRemoteSocketAddress(),
+        keptOutput.bytes());
+    ended(true, "the peer does not read");
+    disconnect();
+  }
+
+  @Override
+  void outputPending(long bytes) {
+    if (!keptOutput.resize(bytes)) {
+      evictOutput();
+    }
+  }
+
+  @Override
+  void closed() {
+    pipelined = null;
+    body.release();
+    keptAhead.close();
+    keptOutput.close();
+  }
+
   private void beginRequest() {
     int headerBytes = handler.limits().headerBytes();
     if (headerBytes != parserHeaderBytes) {
@@ -322,14 +432,16 @@
     if (pipelined != null) {
       all.put(pipelined);
     }
+    boolean hasRoom = keptAhead.force(bytes.remaining());
     pipelined = all.put(bytes).flip();
-    if (pipelined.remaining() > MAX_PIPELINED_BYTES) {
+    if (!hasRoom || pipelined.remaining() > MAX_PIPELINED_BYTES) {
       pauseReading();
     }
   }
 
   private void awaitRequest() {
     isResponseStarted = false;
+    isHeadComplete = false;
     fields = HttpFields.build();
     startTimer(CallerLimits::idleTimeoutMillis);
   }
@@ -389,10 +501,15 @@
   }
 
   private void reject(int status) {
+    refuse(status, HttpFields.EMPTY);
+  }
+
+  private void refuse(int status, HttpFields responseFields) {
     isResponding = true;
+    isAwaitingRoom = false;
     isPersistent = false;
     stopTimer();
-    respond(status, HttpFields.EMPTY, new byte[0]);
+    respond(status, responseFields, new byte[0]);
   }
 
   /** Handles the parser's events. */
@@ -408,6 +525,7 @@
     @Override
     public void parsedHeader(HttpField field) {
       fields.add(field);
+      fieldBytes += FIELD_BYTES;
       if (field.getHeader() == HttpHeader.CONNECTION
           && field.contains(HttpHeaderValue.CLOSE.asString())) {
         isPersistent = false;
@@ -419,24 +537,43 @@
 
     @Override
     public boolean headerComplete() {
-      if (parser.getContentLength() > handler.limits().bodyBytes()) {
+      isHeadComplete = true;
+      kept.force(fieldBytes);
+      fieldBytes = 0;
+      long length = parser.getContentLength();
+      if (length > handler.limits().bodyBytes()) {
         reject(HttpStatus.PAYLOAD_TOO_LARGE_413);
         return true;
       }
       startTimer(CallerLimits::idleTimeoutMillis);
+      return length > 0 && !reserveBody((int) length);
+    }
+
+    /** Makes room for the whole body, as bodies that are read in part could wait for each other. */
+    private boolean reserveBody(int length) {
+      if (!kept.canEverGrow(length)) {
+        refuseForLackOfRoom();
+        return false;
+      }
+      if (body.reserve(length, CallerConnection.this::roomGranted)) {
+        return true;
+      }
+      awaitRoom();
       return false;
     }
 
     @Override
     public boolean content(ByteBuffer bytes) {
-      byte[] part = new byte[bytes.remaining()];
-      bytes.get(part);
-      if (body.size() + part.length > handler.limits().bodyBytes()) {
+      if (body.size() + bytes.remaining() > handler.limits().bodyBytes()) {
+        bytes.position(bytes.limit());
         reject(HttpStatus.PAYLOAD_TOO_LARGE_413);
         return true;
       }
       awaitedSinceMillis = MonotonicClock.millis();
-      body.write(part, 0, part.length);
+      if (!body.append(bytes)) {
+        refuseForLackOfRoom();
+        return true;
+      }
       return false;
     }
 
@@ -453,7 +590,6 @@
       stopTimer();
       isResponding = true;
       InboundRequest request = new InboundRequest(method, target, fields, body.toByteArray());
-      body = new ByteArrayOutputStream(0);
       try {
         handler.requestReceived(CallerConnection.this, request);
       } catch (RuntimeException | StackOverflowError | AssertionError e) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/EventLoop.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/EventLoop.java
@@ -16,6 +16,7 @@
 import java.util.function.LongConsumer;
 import jdk.net.ExtendedSocketOptions;
 import org.bulrushpier.Address;
+import org.bulrushpier.limit.ByteBudget;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -56,6 +57,9 @@
   /** Idle seconds before the first TCP keep-alive probe, which detects dead connections. */
   private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
 
+  /** The share of the heap that messages may take. */
+  private static final double BUDGET_SHARE = 0.45;
+
   private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
   private static final int KEEP_ALIVE_PROBES = 2;
 
@@ -65,9 +69,11 @@
   private final QueuedThreadPool threads = new QueuedThreadPool(THREADS, 2);
   private final ConnectionSelector selector;
 
+  private final ByteBudget budget;
   private LongConsumer delayNanos = nanos -> {};
 
-  private EventLoop() {
+  private EventLoop(long budgetBytes) {
+    budget = ByteBudget.of(budgetBytes, task -> after(0, task));
     threads.setName("net");
     threads.setReservedThreads(1);
     selector = new ConnectionSelector();
@@ -79,7 +85,17 @@
    * @return the running loop
    */
   public static EventLoop start() {
-    EventLoop loop = new EventLoop();
+    return start((long) (Runtime.getRuntime().maxMemory() * BUDGET_SHARE));
+  }
+
+  /**
+   * Starts a loop.
+   *
+   * @param budgetBytes the most bytes of messages that all connections together may keep
+   * @return the running loop
+   */
+  static EventLoop start(long budgetBytes) {
+    EventLoop loop = new EventLoop(budgetBytes);
     try {
       loop.threads.start();
       loop.scheduler.start();
@@ -199,6 +215,15 @@
     }
   }
 
+  /**
+   * Returns the budget for the bytes that connections and calls keep.
+   *
+   * @return the budget, guarded by the loop's lock
+   */
+  public ByteBudget budget() {
+    return budget;
+  }
+
   ByteBuffer readBuffer() {
     return readBuffer;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
@@ -25,6 +26,12 @@
 
   private static final Logger log = LoggerFactory.getLogger("net");
 
+  /**
+   * The largest buffer that is passed to a write, in bytes. Writing copies it to memory outside of
+   * the heap, which the thread keeps.
+   */
+  private static final int MAX_WRITE_BYTES = 64 * 1_024;
+
   /** Maximum number of queued buffers passed to one write. */
   private static final int MAX_BUFFERS_PER_WRITE = 16;
 
@@ -39,6 +46,7 @@
   final EventLoop loop;
   private final ArrayDeque<ByteBuffer> writeQueue = new ArrayDeque<>();
   private long queuedBytes;
+  private long writingBytes;
   private boolean isWriting;
   private boolean closesAfterWrite;
   private boolean isLingering;
@@ -116,6 +124,7 @@
     } finally {
       isReading = false;
       flush();
+      recordPendingOutput();
     }
     return true;
   }
@@ -139,10 +148,13 @@
       finish(true, "the peer does not read");
       return;
     }
-    writeQueue.add(buffer);
     queuedBytes += buffer.remaining();
+    for (int start = buffer.position(); start < buffer.limit(); start += MAX_WRITE_BYTES) {
+      writeQueue.add(buffer.slice(start, Math.min(MAX_WRITE_BYTES, buffer.limit() - start)));
+    }
     if (!isReading) {
       flush();
+      recordPendingOutput();
     }
   }
 
@@ -163,9 +175,26 @@
       queuedBytes -= buffers[i].remaining();
     }
     isWriting = true;
+    writingBytes = Arrays.stream(buffers).mapToLong(ByteBuffer::remaining).sum();
     getEndPoint().write(new WriteCallback(), buffers);
   }
 
+  /**
+   * The peer has not read all that was written.
+   *
+   * @param bytes the bytes that wait to be written
+   */
+  void outputPending(long bytes) {}
+
+  /** The connection was closed and keeps no bytes any more. */
+  void closed() {}
+
+  private void recordPendingOutput() {
+    if (!isClosed) {
+      outputPending(queuedBytes + writingBytes);
+    }
+  }
+
   private void linger() {
     isLingering = true;
     getEndPoint().shutdownOutput();
@@ -210,6 +239,7 @@
       isClosed = true;
       writeQueue.clear();
       getEndPoint().close();
+      closed();
     }
   }
 
@@ -247,7 +277,9 @@
       loop.run(
           () -> {
             isWriting = false;
+            writingBytes = 0;
             flush();
+            recordPendingOutput();
           });
     }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
@@ -55,6 +55,11 @@
   private int mismatchedResponses;
   private int mismatchedBytes;
   private boolean isMismatched;
+  private boolean isPaused;
+
+  /** Bytes that had been read when reading was paused. */
+  private ByteBuffer unread;
+
   private boolean isPersistent = true;
   private boolean isResponsePending;
   private boolean isHttp11;
@@ -146,7 +151,7 @@
 
   @Override
   void received(ByteBuffer bytes) {
-    while (bytes.hasRemaining() && !isClosed()) {
+    while (bytes.hasRemaining() && !isClosed() && !isPaused) {
       if (!isResponsePending) {
         log.info(
             "net: {} sent {} unexpected bytes without a pending request; connection closed.",
@@ -164,12 +169,39 @@
         parser.reset();
       }
     }
+    if (isPaused && bytes.hasRemaining()) {
+      unread = HttpEncoder.copy(bytes);
+    }
     bytes.position(bytes.limit());
     if (!isResponsePending && !isClosed()) {
       group.markIdle(this);
     }
   }
 
+  /** Reads no more of the response until {@link #resume}. */
+  void pause() {
+    isPaused = true;
+    pauseReading();
+  }
+
+  /** Continues to read the response. */
+  void resume() {
+    isPaused = false;
+    ByteBuffer next = unread;
+    unread = null;
+    if (next != null && !isClosed()) {
+      received(next);
+    }
+    if (!isPaused) {
+      resumeReading();
+    }
+  }
+
+  @Override
+  void closed() {
+    unread = null;
+  }
+
   private void discarded(int count) {
     mismatchedBytes += count;
     if (mismatchedBytes > MAX_MISMATCHED_BYTES && request != null) {
@@ -282,7 +314,7 @@
       } else {
         request.listener().started(head);
       }
-      return false;
+      return isPaused;
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
@@ -109,6 +109,20 @@
     }
   }
 
+  /** Stops reading the response until {@link #resume}, so that its bytes stay with the peer. */
+  public void pause() {
+    if (connection != null && !isCancelled) {
+      connection.pause();
+    }
+  }
+
+  /** Continues to read the response. */
+  public void resume() {
+    if (connection != null && !isCancelled) {
+      connection.resume();
+    }
+  }
+
   /**
    * Returns whether any byte of the request may have been sent.
    *
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -7,11 +7,12 @@
 import org.bulrushpier.Moment;
 import org.bulrushpier.adapter.EngineFormat;
 import org.bulrushpier.adapter.StoreFormat;
-import org.bulrushpier.daemon.net.BoundedBuffer;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
+import org.bulrushpier.daemon.net.MessageBuffer;
 import org.bulrushpier.daemon.net.OutboundRequest;
 import org.bulrushpier.daemon.net.ResponseHead;
+import org.bulrushpier.limit.ByteBudget;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -90,7 +91,7 @@
       Consumer<Outcome> consumer) {
     byte[] body = new byte[0];
     HttpFields fields = StoreFormat.fields(address.toString(), 0);
-    Call call = new Call(() -> false, consumer);
+    Call call = new Call(loop.budget(), () -> false, consumer);
     OutboundRequest outbound = OutboundRequest.of("GET", target, fields, body, call);
     send(address, outbound, call, timeoutMillis, maxIdleMillis);
     return call;
@@ -115,7 +116,7 @@
       BooleanSupplier isObsolete,
       Consumer<Outcome> consumer) {
     HttpFields fields = EngineFormat.fields(address.toString(), replica, body.length);
-    Call call = new Call(isObsolete, consumer);
+    Call call = new Call(loop.budget(), isObsolete, consumer);
     OutboundRequest outbound = OutboundRequest.of("POST", target, fields, body, call);
     send(address, outbound, call, timeoutMillis, ConnectionPool.ANY_IDLE_TIME);
   }
@@ -128,7 +129,7 @@
       byte[] body,
       long timeoutMillis,
       Consumer<Outcome> consumer) {
-    Call call = new Call(() -> false, consumer);
+    Call call = new Call(loop.budget(), () -> false, consumer);
     OutboundRequest outbound = OutboundRequest.of(method, target, fields, body, call);
     send(address, outbound, call, timeoutMillis, ConnectionPool.ANY_IDLE_TIME);
   }
@@ -159,13 +160,14 @@
     private final BooleanSupplier isObsolete;
     private final Consumer<Outcome> consumer;
     private final Moment sent = Moment.now();
-    private final BoundedBuffer body = BoundedBuffer.of(MAX_BODY_BYTES);
+    private final MessageBuffer body;
     private EventLoop.Timer timer;
     private OutboundRequest outbound;
     private int status;
     private boolean isDone;
 
-    Call(BooleanSupplier isObsolete, Consumer<Outcome> consumer) {
+    Call(ByteBudget budget, BooleanSupplier isObsolete, Consumer<Outcome> consumer) {
+      this.body = MessageBuffer.of(budget.open(ByteBudget.Use.CONTROL), MAX_BODY_BYTES);
       this.isObsolete = isObsolete;
       this.consumer = consumer;
     }
@@ -176,6 +178,7 @@
         isDone = true;
         timer.cancel();
         outbound.cancel();
+        body.release();
       }
     }
 
@@ -191,11 +194,17 @@
 
     @Override
     public void body(ByteBuffer bytes) {
-      if (!body.append(bytes) && !isDone) {
-        outbound.cancel();
+      int size = body.size() + bytes.remaining();
+      if (isDone || body.append(bytes)) {
+        return;
+      }
+      outbound.cancel();
+      if (size > MAX_BODY_BYTES) {
         finish(
             new Outcome(
                 TOO_LARGE, new byte[0], sent, "the response exceeds " + MAX_BODY_BYTES + " bytes"));
+      } else {
+        failed("no room for a response of " + size + " bytes");
       }
     }
 
@@ -215,6 +224,7 @@
         if (timer != null) {
           timer.cancel();
         }
+        body.release();
         consumer.accept(outcome);
       }
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -12,12 +12,12 @@
 import org.bulrushpier.call.CallerRequest;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.call.UpstreamResponse;
-import org.bulrushpier.daemon.net.BoundedBuffer;
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.InboundRequest;
 import org.bulrushpier.daemon.net.OutboundRequest;
 import org.bulrushpier.daemon.net.ResponseHead;
+import org.bulrushpier.limit.ByteBudget;
 import org.bulrushpier.placing.AttemptRace;
 import org.bulrushpier.placing.CachePlanner;
 import org.bulrushpier.placing.CallerPatience;
@@ -65,9 +65,6 @@
   /** Number of failed connection attempts after which the request is given up. */
   private static final int MAX_CONNECT_FAILURES = 3;
 
-  /** The largest response body that is collected before it is forwarded, in bytes. */
-  private static final int MAX_BODY_BYTES = 4 * 1_024 * 1_024;
-
   /** Time without events after which a resumable stream is sent to another upstream too, in ms. */
   private static final long STREAM_IDLE_TIMEOUT_MILLIS = 1_200;
 
@@ -560,6 +557,9 @@
     isDone = true;
     cancelAttempts(outcome);
     leaveQueue();
+    if (failedAnswer != null) {
+      failedAnswer.body.release();
+    }
     context.metrics().outcome(outcome);
   }
 
@@ -583,8 +583,7 @@
 
     private final Replica replica;
     private final Placement.Send placement;
-    private final EventSplitter splitter = new EventSplitter();
-    private final BoundedBuffer buffer = BoundedBuffer.of(MAX_BODY_BYTES);
+    private ResponseBody body;
     private OutboundRequest outbound;
     private Replica.InFlightRequest inFlight;
     private int weightVersion;
@@ -594,6 +593,7 @@
     private boolean isContinuation;
     private boolean hasForwardedEvents;
     private boolean isDisconnected;
+    private boolean isComplete;
     private boolean isEnded;
 
     Attempt(Replica replica, Placement.Send placement) {
@@ -856,6 +856,10 @@
 
     private void end() {
       isEnded = true;
+      // A complete response may yet be forwarded.
+      if (!isComplete && body != null) {
+        body.release();
+      }
       replica.end(request.id());
       race.end(this);
     }
@@ -901,6 +905,7 @@
     public void started(ResponseHead read) {
       head = read;
       response = CallFormat.upstreamResponse(read.status(), read.fields());
+      beginBody(response.isEventStream() ? -1 : read.length());
       inFlight.markStarted();
       long now = MonotonicClock.millis();
       replica.recordActivity(now);
@@ -932,6 +937,15 @@
       }
     }
 
+    private void beginBody(long length) {
+      ByteBudget budget = context.loop().budget();
+      body =
+          length > 0 && length <= ResponseBody.MAX_BYTES
+              ? ResponseBody.ofLength(budget, (int) length, outbound)
+              : ResponseBody.ofUnknownLength(
+                  budget, () -> rejectResponse("its response takes the room of others"));
+    }
+
     /** Sends the replica no more requests for as long as it has said. */
     private void heedWishes(long nowMillis) {
       if (response.isMisdirected()) {
@@ -967,12 +981,12 @@
         return;
       }
       if (isForwardingEvents) {
-        splitter.feed(bytes, this::forwardEvent);
-        if (splitter.isTooLong()) {
+        if (!body.feed(bytes, this::forwardEvent)) {
           rejectResponse("an event of the stream is too long");
         }
-      } else if (!buffer.append(bytes)) {
-        rejectResponse("the response exceeds " + MAX_BODY_BYTES + " bytes");
+      } else if (!body.append(bytes)) {
+        rejectResponse(
+            "the response exceeds " + ResponseBody.MAX_BYTES + " bytes or there is no room for it");
       }
     }
 
@@ -1045,7 +1059,15 @@
       if (isEnded) {
         return;
       }
+      isComplete = true;
       end();
+      handleResponse();
+      if (failedAnswer != this) {
+        body.release();
+      }
+    }
+
+    private void handleResponse() {
       replica.recordOutcome(
           response.isRefusal() || response.isServerError() || !response.isSigned(),
           MonotonicClock.millis());
@@ -1074,6 +1096,9 @@
     /** Keeps an error response, which is forwarded unless another attempt succeeds. */
     private void keepFailedAnswer() {
       mayHaveRun = true;
+      if (failedAnswer != null) {
+        failedAnswer.body.release();
+      }
       failedAnswer = this;
       excludeReplica();
     }
@@ -1103,7 +1128,7 @@
     }
 
     private void streamEnded() {
-      if (splitter.isPartial()) {
+      if (body.isPartial()) {
         responseLost("the stream ended in the middle of an event");
         return;
       }
@@ -1116,9 +1141,10 @@
     }
 
     private void forward() {
+      List<ByteBuffer> content = body.buffers();
+      body.release();
       finishAnswered();
-      caller.respond(
-          head.status(), CallFormat.forwardedResponse(head.fields()), buffer.toByteArray());
+      caller.respond(head.status(), CallFormat.forwardedResponse(head.fields()), content);
     }
 
     private void finishAnswered() {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -70,6 +70,9 @@
   /** Instances that reach each other tell their crashes directly. */
   private static final StoreWatch.Timing CRASH_TIMING = new StoreWatch.Timing(5_000, 50);
 
+  /** Retry delay for callers while there is no room for their requests, in milliseconds. */
+  private static final long NO_ROOM_RETRY_MILLIS = 300;
+
   private static final long SHUTDOWN_POLL_MILLIS = 50;
 
   /**
@@ -122,6 +125,12 @@
   private void startWatches() {
     context.log().event("started", "instance", settings.name(), "domain", settings.domain());
     loop.observeDelays(context.metrics()::loopDelay);
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.messages.kept.bytes",
+            "Bytes of requests, responses and unread output that this process keeps",
+            () -> loop.budget().used());
     context.metrics().gauge("bulrushpier.requests.running", "Requests under way", exchanges::size);
     context
         .metrics()
@@ -419,6 +428,13 @@
           .orElse(CallerLimits.DEFAULT);
     }
 
+    @Override
+    public HttpFields noRoomFields() {
+      context.metrics().outcome("refused");
+      context.log().event("refused", "reason", "no room for the request");
+      return CallFormat.gatewayResponse("", "no room for the request", NO_ROOM_RETRY_MILLIS);
+    }
+
     @Override
     public boolean isShuttingDown() {
       return isShuttingDown;
--- a/library/src/main/java/org/bulrushpier/stream/EventSplitter.java
+++ b/library/src/main/java/org/bulrushpier/stream/EventSplitter.java
@@ -71,6 +71,11 @@
     return event.size() > 0;
   }
 
+  /** Returns the length of the incomplete event, in bytes. */
+  public long partialBytes() {
+    return event.size();
+  }
+
   /**
    * Returns whether the incomplete event exceeds the permitted length, so that the stream should be
    * closed.
