--- a/rig/src/main/java/org/bulrushpier/rig/gateway/CallerFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/CallerFake.java
@@ -180,6 +180,17 @@
    * @return what was received until the response or the connection ended
    */
   public Answer send(Call call) {
+    return send(call, "body");
+  }
+
+  /**
+   * Makes a call with a given body. After an answer that is not whole the caller must be closed.
+   *
+   * @param call the call
+   * @param body the body, of ASCII characters
+   * @return what was received until the response or the connection ended
+   */
+  public Answer send(Call call, String body) {
     String generation =
         call.route().isGeneration()
             ? "Model: m0\r\nToken-Usage: 100,%1$d\r\nPrefix-Hash: s%2$d:80,%3$sr%2$d:20\r\n"
@@ -195,7 +206,10 @@
             + call.key()
             + "\r\n"
             + generation
-            + "Content-Length: 4\r\n\r\nbody");
+            + "Content-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
   }
 
   /**
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -58,7 +58,11 @@
     /** Sends interim responses until the connection is closed. */
     ENDLESS_INTERIM,
     /** Sends body chunks, all in one line, until the connection is closed. */
-    ENDLESS_BODY
+    ENDLESS_BODY,
+    /** Like {@link #ENDLESS_BODY}, in chunks of one byte. */
+    ENDLESS_SMALL_CHUNKS,
+    /** Sends responses to another request until the connection is closed. */
+    ENDLESS_FOREIGN_RESPONSES
   }
 
   /** How an engine handles orders to change its weights. */
@@ -115,6 +119,7 @@
   private static final int ACCEPTED = 202;
   private static final int CONFLICT = 409;
   private static final long POLL_MILLIS = 10;
+  private static final int ENDLESS_REPETITIONS = 1_000;
 
   /** The time from the first event of a generation to the crash that it causes, in ms. */
   private static final long CRASH_DELAY_MILLIS = 50;
@@ -636,6 +641,17 @@
               socket,
               "HTTP/1.1 200 X\r\n" + attemptHeaders + "Transfer-Encoding: chunked\r\n\r\n",
               "400\r\n" + "a".repeat(1_024) + "\r\n");
+      case ENDLESS_SMALL_CHUNKS ->
+          sendWithoutEnd(
+              socket,
+              "HTTP/1.1 200 X\r\n" + attemptHeaders + "Transfer-Encoding: chunked\r\n\r\n",
+              "1\r\na\r\n".repeat(ENDLESS_REPETITIONS));
+      case ENDLESS_FOREIGN_RESPONSES ->
+          sendWithoutEnd(
+              socket,
+              "",
+              "HTTP/1.1 200 X\r\nAttempt-Id: another\r\nContent-Length: 0\r\n\r\n"
+                  .repeat(ENDLESS_REPETITIONS));
       case SILENT,
           HOLD_STREAM,
           CUT_STREAM,
--- a/rig/src/main/java/org/bulrushpier/rig/proxy/ProxyLink.java
+++ b/rig/src/main/java/org/bulrushpier/rig/proxy/ProxyLink.java
@@ -32,6 +32,7 @@
   private final Address target;
   private final ServerSocket server;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final Set<Socket> silentSockets = ConcurrentHashMap.newKeySet();
   private volatile Impairments impairments = new Impairments(false, false, false, 0, 0);
 
   private ProxyLink(Address target, ServerSocket server) {
@@ -112,6 +113,11 @@
     }
   }
 
+  /** Lets the open connections fall silent for good, without closing them; new ones work. */
+  public void silenceOpenConnections() {
+    silentSockets.addAll(sockets);
+  }
+
   private void acceptConnections() {
     while (!server.isClosed()) {
       try {
@@ -162,6 +168,7 @@
     } finally {
       queue.offer(new Chunk(new byte[0], 0));
       sockets.remove(from);
+      silentSockets.remove(from);
     }
   }
 
@@ -177,8 +184,10 @@
         if (rate > 0) {
           Faults.sleep(chunk.bytes().length * MILLIS_PER_SECOND / rate);
         }
-        out.write(chunk.bytes());
-        out.flush();
+        if (!silentSockets.contains(to)) {
+          out.write(chunk.bytes());
+          out.flush();
+        }
       }
       to.close();
     } catch (IOException | InterruptedException e) {
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Client.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Client.java
@@ -117,6 +117,11 @@
    * Makes a call over the present connection whose prompt has a further part unless it is empty.
    */
   Answer call(Route route, String part) throws IOException {
+    return call(route, part, "body");
+  }
+
+  /** Makes a call like {@link #call(Route, String)} with a given body. */
+  Answer call(Route route, String part, String body) throws IOException {
     int customer = random.nextInt(site.keys().size());
     List<String> customers = List.copyOf(site.keys().keySet());
     int events = random.nextInt(20) == 0 ? LONG_EVENTS : 1 + random.nextInt(MAX_EVENTS);
@@ -130,7 +135,7 @@
             WAIT_MILLIS,
             part);
     observer.callBegins(call, customers.get(customer), instance, run, idleSinceMillis);
-    Answer answer = caller.send(call);
+    Answer answer = caller.send(call, body);
     idleSinceMillis = MonotonicClock.millis();
     observer.callEnds(call, answer);
     if (!answer.isWhole() || !keepsConnection) {
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
@@ -18,6 +18,9 @@
   /** Other software writes an entry among those of the replicas and removes it later. */
   record WriteForeignEntry(String entry, long millis) implements Fault {}
 
+  /** Other software overwrites the entry of a replica with one that lacks a field. */
+  record ReplaceEntry(int replica, String missingField) implements Fault {}
+
   /** A replica says that it leaves, and is ready again some time later. */
   record Leave(int replica, long millis) implements Fault {}
 
@@ -42,6 +45,12 @@
   /** The connections of an instance to the metadata store are reset. */
   record ResetLink(int instance) implements Fault {}
 
+  /** The open connections of an instance to the metadata store fall silent; new ones work. */
+  record SilenceLink(int instance) implements Fault {}
+
+  /** Callers send calls with long bodies to an instance, all at once. */
+  record SendLongBodies(int instance, int calls, int bytes) implements Fault {}
+
   /** A replica handles calls in the given way for some time. */
   record Misbehave(int replica, Behaviour behaviour, long millis) implements Fault {}
 
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Instance.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Instance.java
@@ -193,6 +193,14 @@
     applyImpairments();
   }
 
+  /**
+   * Lets the open connections to the store fall silent, which counts as an outage that has ended.
+   */
+  synchronized void silenceLink() {
+    storeLink.silenceOpenConnections();
+    storeAwayUntilMillis = MonotonicClock.millis();
+  }
+
   /** Impairs the link to the store for some time. */
   void impairLink(Fault.LinkFault fault, long millis) {
     impair(fault, 1);
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -68,6 +68,8 @@
     CUT_OFF,
     /** No call that replicas without a fault execute fails before its time is over. */
     UNANSWERED,
+    /** A call reaches only replicas of the service of its route. */
+    ROUTE,
     /** A replica that leaves gets no more calls. */
     LEFT,
     /** Calls with a prompt part under which engines have crashed reach no more engines. */
@@ -80,6 +82,7 @@
   private final Map<String, CallRecord> calls = new ConcurrentHashMap<>();
   private final Map<Integer, Long> requestedMillis = new ConcurrentHashMap<>();
   private final Map<String, Long> faultyUntilMillis = new ConcurrentHashMap<>();
+  private final Map<String, Boolean> engines = new ConcurrentHashMap<>();
   private final Map<String, Long> leftMillis = new ConcurrentHashMap<>();
   private final Map<String, PoisonRecord> poisons = new ConcurrentHashMap<>();
   private final List<StoredConfiguration> configurations = new CopyOnWriteArrayList<>();
@@ -208,6 +211,11 @@
     return (long) (REUSED_SHARE * limit);
   }
 
+  /** Records whether a replica is an engine; calls at replicas that are not known may be any. */
+  void replicaServes(String replica, boolean isEngine) {
+    engines.put(replica, isEngine);
+  }
+
   /** Records that the store acknowledged that a replica leaves. */
   void replicaLeft(String replica) {
     leftMillis.putIfAbsent(replica, MonotonicClock.millis());
@@ -245,6 +253,10 @@
         violated(
             Promise.CUSTOMER, text + " for " + execution.customer() + ", not " + record.customer);
       }
+      Boolean isEngine = engines.get(execution.replica());
+      if (isEngine != null && isEngine != record.call.route().isGeneration()) {
+        violated(Promise.ROUTE, text);
+      }
       if (execution.isGeneration()) {
         checkVersion(record, execution, text);
       }
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -23,6 +23,8 @@
   private static final long[] TIMEOUTS_MILLIS = {4_000, 7_000, 20_000};
   private static final long[] IDLE_TIMEOUTS_MILLIS = {2_000, 5_000, 15_000};
   private static final int FOREIGN_SIZE = 3_000;
+  private static final int MAX_LONG_BODIES = 24;
+  private static final int MAX_BODY_BYTES = 4 * 1_024 * 1_024;
 
   /**
    * A fault and its start. Immutable and thread-safe.
@@ -72,6 +74,7 @@
         millis += between(MIN_GAP_MILLIS, MAX_GAP_MILLIS);
       }
       poisons();
+      strains();
       entries.removeIf(entry -> entry.atMillis() >= endMillis);
       entries.sort(Comparator.comparingLong(Entry::atMillis));
       return new Schedule(List.copyOf(entries));
@@ -88,6 +91,46 @@
       }
     }
 
+    /**
+     * Endless responses, long bodies, silent connections and odd entries beside the other faults.
+     */
+    private void strains() {
+      Behaviour[] endless = {
+        Behaviour.ENDLESS_HEAD,
+        Behaviour.ENDLESS_INTERIM,
+        Behaviour.ENDLESS_BODY,
+        Behaviour.ENDLESS_SMALL_CHUNKS,
+        Behaviour.ENDLESS_FOREIGN_RESPONSES
+      };
+      String[] fields = {"cold_left_ms", "slots", "zone", "version", "seq", "state"};
+      millis = FIRST_MILLIS;
+      while (millis < endMillis) {
+        millis += between(1_500, 6_000);
+        switch (random.nextInt(4)) {
+          case 0 ->
+              add(
+                  0,
+                  new Fault.Misbehave(
+                      random.nextInt(replicas),
+                      endless[random.nextInt(endless.length)],
+                      between(1_000, 4_000)));
+          case 1 ->
+              add(
+                  0,
+                  new Fault.SendLongBodies(
+                      random.nextInt(instances),
+                      (int) between(4, MAX_LONG_BODIES),
+                      (int) between(MAX_BODY_BYTES / 4, MAX_BODY_BYTES)));
+          case 2 -> add(0, new Fault.SilenceLink(random.nextInt(instances)));
+          default ->
+              add(
+                  0,
+                  new Fault.ReplaceEntry(
+                      random.nextInt(replicas), fields[random.nextInt(fields.length)]));
+        }
+      }
+    }
+
     private long between(long low, long high) {
       return low + random.nextLong(high - low);
     }
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -74,6 +74,7 @@
   private final Map<String, String> keys = new TreeMap<>();
   private final Set<ReplicaFake> leaving = ConcurrentHashMap.newKeySet();
   private final AtomicInteger foreignEntries = new AtomicInteger();
+  private final AtomicInteger longBodySeries = new AtomicInteger();
   private final AtomicInteger poisons = new AtomicInteger();
   private final AtomicBoolean isPoisoned = new AtomicBoolean();
   private int configuration;
@@ -94,6 +95,7 @@
     site.configure(TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
     for (int i = 0; i < REPLICAS; i++) {
       String id = i < ENGINES ? "engine-" + i : "plain-" + i;
+      observer.replicaServes(id, i < ENGINES);
       ReplicaFake replica = ReplicaFake.start(id, SLOTS, observer::executionStarts);
       replica.setPace(PACE);
       site.replicas.add(replica);
@@ -230,6 +232,7 @@
     switch (fault) {
       case Fault.RequestVersion request -> requestVersion();
       case Fault.Configure f -> configure(f.timeoutMillis(), f.idleTimeoutMillis());
+      case Fault.ReplaceEntry f -> replaceEntry(f);
       case Fault.WriteForeignEntry f -> {
         String name = "a-foreign-" + foreignEntries.incrementAndGet();
         store.putRaw(StoreFormat.REPLICAS, name, f.entry());
@@ -256,6 +259,8 @@
       }
       case Fault.ImpairLink f -> instances.get(f.instance()).impairLink(f.link(), f.millis());
       case Fault.ResetLink f -> instances.get(f.instance()).resetLink();
+      case Fault.SilenceLink f -> instances.get(f.instance()).silenceLink();
+      case Fault.SendLongBodies f -> sendLongBodies(f);
       case Fault.Misbehave f -> {
         ReplicaFake replica = replicas.get(f.replica());
         replica.setBehaviour(f.behaviour());
@@ -276,6 +281,15 @@
     }
   }
 
+  /** Writes an entry that names the other service but lacks a field. The replica renews its own. */
+  private void replaceEntry(Fault.ReplaceEntry fault) {
+    ReplicaFake replica = replicas.get(fault.replica());
+    String other = fault.replica() < ENGINES ? "plain" : "engines";
+    String entry =
+        replica.entry(other, "ready").replace("\"" + fault.missingField() + "\":", "\"x\":");
+    store.putRaw(StoreFormat.REPLICAS, replica.id(), entry);
+  }
+
   private void poison(long gapMillis, long millis) {
     if (!isPoisoned.compareAndSet(false, true)) {
       return;
@@ -302,6 +316,28 @@
     isPoisoned.set(false);
   }
 
+  private void sendLongBodies(Fault.SendLongBodies fault) {
+    Instance instance = instances.get(fault.instance());
+    String body = "a".repeat(fault.bytes());
+    int series = longBodySeries.incrementAndGet();
+    List<Thread> calls = new ArrayList<>();
+    for (int i = 0; i < fault.calls(); i++) {
+      Client client = new Client(this, observer, "long" + series + "-" + i, false, i);
+      calls.add(Thread.ofVirtual().start(() -> sendOnce(client, instance, body)));
+    }
+    calls.forEach(SoakSite::join);
+  }
+
+  private static void sendOnce(Client client, Instance instance, String body) {
+    try {
+      if (instance.isReady() && client.connect(instance)) {
+        client.call(CallerFake.Route.ONCE, "", body);
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static void callOnce(Client client, Instance instance, String part) {
     try {
       if (instance.isReady() && client.connect(instance)) {
--- a/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
@@ -50,6 +50,19 @@
     assertThat(observer.violations()).isEmpty();
   }
 
+  @Test
+  void executionByReplicaOfAnotherServiceIsFound() {
+    observer.replicaServes("r1", true);
+    begin(Route.STREAM);
+    execute("ate");
+    assertThat(observer.violations()).isEmpty();
+
+    begin(Route.SAFE);
+    execute("ate");
+
+    assertViolated(Promise.ROUTE);
+  }
+
   @Test
   void secondExecutionIsFound() {
     begin(Route.ONCE);
