--- a/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
@@ -26,7 +26,7 @@
   }
 
   /** Records a response. */
-  private static final class ResponseRecorder implements OutboundRequest.Listener {
+  private static class ResponseRecorder implements OutboundRequest.Listener {
     private final String id;
     private final StringBuilder body = new StringBuilder();
     private final CompletableFuture<String> outcome = new CompletableFuture<>();
@@ -116,6 +116,46 @@
     }
   }
 
+  /** A response that waits for room must neither be read meanwhile nor lose bytes. */
+  @Test
+  void pausedResponseIsCompleteAfterItWasResumed() throws Exception {
+    String body = "x".repeat(200_000);
+    CompletableFuture<OutboundRequest> paused = new CompletableFuture<>();
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              RawServer.readHead(socket);
+              RawServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + body);
+            })) {
+      OutboundRequest[] outbound = new OutboundRequest[1];
+      ResponseRecorder recorder =
+          new ResponseRecorder("mine") {
+            @Override
+            public boolean matches(ResponseHead head) {
+              return true;
+            }
+
+            @Override
+            public void started(ResponseHead head) {
+              outbound[0].pause();
+              paused.complete(outbound[0]);
+            }
+          };
+      HttpFields fields = HttpFields.build().add("Host", "x");
+      outbound[0] = OutboundRequest.of("GET", "/", fields, new byte[0], recorder);
+      loop.run(() -> pool.send(server.address(), outbound[0], ConnectionPool.ANY_IDLE_TIME));
+
+      paused.get(30, TimeUnit.SECONDS);
+      TimeUnit.MILLISECONDS.sleep(200);
+      CompletableFuture<Integer> read = new CompletableFuture<>();
+      loop.run(() -> read.complete(recorder.body.length()));
+      assertThat(read.get()).isZero();
+      loop.run(outbound[0]::resume);
+
+      assertThat(outcome(recorder)).isEqualTo("complete: " + body);
+    }
+  }
+
   @Test
   void responseToAnotherRequestIsDiscarded() throws Exception {
     try (RawServer server =
