Keep the heap of 96 MB, and take 40% of it for messages

Change: the heap is that of before; the budget is 40% of it, which leaves the old generation room for all else.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/EventLoop.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/EventLoop.java
@@ -58,7 +58,7 @@
   private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
 
   /** The share of the heap that messages may take. */
-  private static final double BUDGET_SHARE = 0.45;
+  private static final double BUDGET_SHARE = 0.4;
 
   private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
   private static final int KEEP_ALIVE_PROBES = 2;
