--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -44,12 +44,6 @@
    */
   private static final int MAX_PIPELINED_BYTES = 64 * 1_024;
 
-  /**
-   * Time after which pipelined requests that were answered at once make way for timers and other
-   * connections, in milliseconds.
-   */
-  private static final long MAX_PIPELINED_MILLIS = 2;
-
   private static final Logger log = LoggerFactory.getLogger("net");
 
   private static final ByteBuffer CONTINUE =
@@ -84,12 +78,11 @@
     }
 
     /**
-     * Returns the header fields of the response to a request that was not read because there is no
-     * room for it. It must state that the request has not run.
+     * A request is refused without being read to its end, as there is no room for it.
      *
-     * @return the fields
+     * @return the header fields of the response, which must state that the request has not run
      */
-    default HttpFields noRoomFields() {
+    default HttpFields refusedForLackOfRoom() {
       return HttpFields.EMPTY;
     }
 
@@ -113,7 +106,6 @@
   private final MessageBuffer body;
   private final ByteBudget.Account keptAhead;
   private final ByteBudget.Account keptOutput;
-  private int fieldBytes;
   private boolean isHeadComplete;
   private boolean isAwaitingRoom;
   private ByteBuffer pipelined;
@@ -177,12 +169,10 @@
    *
    * @param status the status code
    * @param responseFields the header fields, without framing
-   * @param content the body
+   * @param content the body, which must not be changed any more
    */
   public void respond(int status, HttpFields responseFields, byte[] content) {
-    start(status, responseFields, content.length);
-    body(ByteBuffer.wrap(content));
-    complete();
+    respond(status, responseFields, List.of(ByteBuffer.wrap(content)));
   }
 
   /**
@@ -320,7 +310,7 @@
 
   @Override
   void received(ByteBuffer bytes) {
-    long endMillis = MonotonicClock.millis() + MAX_PIPELINED_MILLIS;
+    long endMillis = MonotonicClock.millis() + ReadTurn.MAX_MILLIS;
     while (bytes.hasRemaining() && !isClosing()) {
       if (isResponding || isAwaitingRoom) {
         bufferPipelined(bytes);
@@ -352,8 +342,7 @@
 
   /** Counts what was read of a head, and reads on only when there is room for it. */
   private void countUnfinishedHead(int bytes) {
-    boolean hadRoom = kept.force(bytes + fieldBytes);
-    fieldBytes = 0;
+    boolean hadRoom = kept.force(bytes);
     if (!hadRoom && !isClosing() && !kept.growOrWait(0, this::roomGranted)) {
       awaitRoom();
     }
@@ -382,7 +371,7 @@
           "net: request refused, as {} of {} bytes for messages are taken.",
           loop.budget().used(),
           loop.budget().capacity());
-      refuse(HttpStatus.SERVICE_UNAVAILABLE_503, handler.noRoomFields());
+      refuse(HttpStatus.SERVICE_UNAVAILABLE_503, handler.refusedForLackOfRoom());
     }
   }
 
@@ -525,7 +514,7 @@
     @Override
     public void parsedHeader(HttpField field) {
       fields.add(field);
-      fieldBytes += FIELD_BYTES;
+      kept.force(FIELD_BYTES);
       if (field.getHeader() == HttpHeader.CONNECTION
           && field.contains(HttpHeaderValue.CLOSE.asString())) {
         isPersistent = false;
@@ -538,8 +527,6 @@
     @Override
     public boolean headerComplete() {
       isHeadComplete = true;
-      kept.force(fieldBytes);
-      fieldBytes = 0;
       long length = parser.getContentLength();
       if (length > handler.limits().bodyBytes()) {
         reject(HttpStatus.PAYLOAD_TOO_LARGE_413);
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.bulrushpier.Address;
 import org.bulrushpier.MonotonicClock;
 
@@ -70,7 +71,7 @@
   public void closeIdle(Address address) {
     Group group = groups.get(address);
     if (group != null) {
-      group.closeIdle();
+      group.closeIdle(connection -> true);
     }
   }
 
@@ -179,15 +180,13 @@
       idle.remove(connection);
     }
 
-    private void closeIdle() {
-      for (OutboundConnection connection : idle.toArray(new OutboundConnection[0])) {
-        connection.drop();
-      }
+    private void sweep(long now) {
+      closeIdle(connection -> now - connection.idleSinceMillis() >= connection.idleMillis());
     }
 
-    private void sweep(long now) {
+    private void closeIdle(Predicate<OutboundConnection> condition) {
       for (OutboundConnection connection : idle.toArray(new OutboundConnection[0])) {
-        if (now - connection.idleSinceMillis() >= connection.idleMillis()) {
+        if (condition.test(connection)) {
           connection.drop();
         }
       }
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
@@ -173,9 +172,9 @@
     for (int i = 0; i < count; i++) {
       buffers[i] = writeQueue.poll();
       queuedBytes -= buffers[i].remaining();
+      writingBytes += buffers[i].remaining();
     }
     isWriting = true;
-    writingBytes = Arrays.stream(buffers).mapToLong(ByteBuffer::remaining).sum();
     getEndPoint().write(new WriteCallback(), buffers);
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ReadTurn.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ReadTurn.java
@@ -14,7 +14,7 @@
 final class ReadTurn {
 
   /** Time after which a turn ends, in milliseconds. */
-  private static final long MAX_MILLIS = 2;
+  static final long MAX_MILLIS = 2;
 
   /** Bytes after which a turn ends. */
   private static final int MAX_BYTES = 4 * EventLoop.READ_BYTES;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -1,5 +1,7 @@
 package org.bulrushpier.daemon.serve;
 
+import static org.bulrushpier.daemon.net.ConnectionPool.ANY_IDLE_TIME;
+
 import java.nio.ByteBuffer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -63,7 +65,7 @@
       long timeoutMillis,
       Consumer<Outcome> consumer) {
     HttpFields fields = StoreFormat.fields(address.toString(), body.length);
-    send(address, method, target, fields, body, timeoutMillis, consumer);
+    send(address, method, target, fields, body, timeoutMillis, ANY_IDLE_TIME, consumer);
   }
 
   /** Makes a GET call with the given header fields; the consumer is called exactly once. */
@@ -73,7 +75,7 @@
       HttpFields fields,
       long timeoutMillis,
       Consumer<Outcome> consumer) {
-    send(address, "GET", target, fields, new byte[0], timeoutMillis, consumer);
+    send(address, "GET", target, fields, new byte[0], timeoutMillis, ANY_IDLE_TIME, consumer);
   }
 
   /**
@@ -89,12 +91,9 @@
       long timeoutMillis,
       long maxIdleMillis,
       Consumer<Outcome> consumer) {
-    byte[] body = new byte[0];
     HttpFields fields = StoreFormat.fields(address.toString(), 0);
-    Call call = new Call(loop.budget(), () -> false, consumer);
-    OutboundRequest outbound = OutboundRequest.of("GET", target, fields, body, call);
-    send(address, outbound, call, timeoutMillis, maxIdleMillis);
-    return call;
+    return send(
+        address, "GET", target, fields, new byte[0], timeoutMillis, maxIdleMillis, consumer);
   }
 
   /** A call that can be cancelled. Guarded by the loop's lock. */
@@ -118,20 +117,22 @@
     HttpFields fields = EngineFormat.fields(address.toString(), replica, body.length);
     Call call = new Call(loop.budget(), isObsolete, consumer);
     OutboundRequest outbound = OutboundRequest.of("POST", target, fields, body, call);
-    send(address, outbound, call, timeoutMillis, ConnectionPool.ANY_IDLE_TIME);
+    send(address, outbound, call, timeoutMillis, ANY_IDLE_TIME);
   }
 
-  private void send(
+  private Handle send(
       Address address,
       String method,
       String target,
       HttpFields fields,
       byte[] body,
       long timeoutMillis,
+      long maxIdleMillis,
       Consumer<Outcome> consumer) {
     Call call = new Call(loop.budget(), () -> false, consumer);
     OutboundRequest outbound = OutboundRequest.of(method, target, fields, body, call);
-    send(address, outbound, call, timeoutMillis, ConnectionPool.ANY_IDLE_TIME);
+    send(address, outbound, call, timeoutMillis, maxIdleMillis);
+    return call;
   }
 
   private void send(
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -429,7 +429,7 @@
     }
 
     @Override
-    public HttpFields noRoomFields() {
+    public HttpFields refusedForLackOfRoom() {
       context.metrics().outcome("refused");
       context.log().event("refused", "reason", "no room for the request");
       return CallFormat.gatewayResponse("", "no room for the request", NO_ROOM_RETRY_MILLIS);
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/CallerConnectionTest.java
@@ -4,7 +4,6 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -56,7 +55,7 @@
 
   @BeforeEach
   void listen() throws IOException {
-    address = freeAddress();
+    address = RawServer.freeAddress();
     listener = loop.listen(address, new RecordingHandler());
   }
 
@@ -66,12 +65,6 @@
     loop.stop();
   }
 
-  private static Address freeAddress() throws IOException {
-    try (ServerSocket free = new ServerSocket(0)) {
-      return new Address("127.0.0.1", free.getLocalPort());
-    }
-  }
-
   private Socket connect() throws IOException {
     Socket socket = new Socket(address.host(), address.port());
     socket.setSoTimeout(TIMEOUT_SECONDS * 1_000);
@@ -353,7 +346,7 @@
   /** The parser closes the connection without a word if its handler fails. */
   @Test
   void requestWhoseHandlingFailsIsAnswered() throws Exception {
-    Address failing = freeAddress();
+    Address failing = RawServer.freeAddress();
     CallerConnection.Handler handler =
         (connection, request) -> {
           throw new IllegalStateException("handling fails");
@@ -394,7 +387,7 @@
 
   @Test
   void connectionIsKeptAfterRequestThatArrivedDuringStallIsAnsweredAtOnce() throws Exception {
-    Address refusing = freeAddress();
+    Address refusing = RawServer.freeAddress();
     CallerConnection.Handler handler =
         new RefusingHandler() {
           @Override
@@ -440,7 +433,7 @@
   /** Callers who were refused leave their connections open and return on new ones. */
   @Test
   void idleConnectionsHoldLittleMemory() throws Exception {
-    Address refusing = freeAddress();
+    Address refusing = RawServer.freeAddress();
     List<Socket> sockets = new ArrayList<>();
     try (Closeable refusingListener = loop.listen(refusing, new RefusingHandler())) {
       refuseLargeRequests(refusing).close();
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/EndlessBytesTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/EndlessBytesTest.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -210,10 +209,7 @@
 
   /** Serves requests whose handling takes a fifth of a millisecond each. */
   private Address serveSlowly() throws Exception {
-    Address address;
-    try (ServerSocket free = new ServerSocket(0)) {
-      address = new Address("127.0.0.1", free.getLocalPort());
-    }
+    Address address = RawServer.freeAddress();
     loop.listen(
         address,
         (connection, request) -> {
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/MessageBudgetTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/MessageBudgetTest.java
@@ -4,7 +4,6 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -39,9 +38,7 @@
 
   @BeforeEach
   void listen() throws IOException {
-    try (ServerSocket free = new ServerSocket(0)) {
-      address = new Address("127.0.0.1", free.getLocalPort());
-    }
+    address = RawServer.freeAddress();
     listener =
         loop.listen(
             address,
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/RawServer.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/RawServer.java
@@ -48,6 +48,13 @@
     return new Address("127.0.0.1", listener.getLocalPort());
   }
 
+  /** Returns an address on which nothing listens. */
+  static Address freeAddress() throws IOException {
+    try (ServerSocket free = new ServerSocket(0)) {
+      return new Address("127.0.0.1", free.getLocalPort());
+    }
+  }
+
   /** Reads up to the end of a message head. */
   static String readHead(Socket socket) throws IOException {
     InputStream in = socket.getInputStream();
--- a/library/src/main/java/org/bulrushpier/limit/ByteBudget.java
+++ b/library/src/main/java/org/bulrushpier/limit/ByteBudget.java
@@ -58,7 +58,10 @@
   private final long capacity;
   private final Executor later;
   private final Map<Use, Queue<Waiter>> waiters = new EnumMap<>(Use.class);
+
+  /** The accounts that give way and are not small. */
   private final Set<Account> evictable = new LinkedHashSet<>();
+
   private long used;
   private boolean isGrantScheduled;
 
@@ -117,19 +120,18 @@
 
   private boolean hasRoom(Account account, long bytes) {
     double share = account.use.share;
-    if (account.bytes + bytes <= SMALL_BYTES) {
+    if (account.staysSmall(bytes)) {
       share += SMALL_SHARE;
     }
     return used + bytes <= share * capacity;
   }
 
-  /** Makes room by closing the largest accounts that give way; may close the given one. */
+  /** Makes room by closing larger accounts that give way; the given one stays. */
   private boolean makeRoom(Account account, long bytes) {
     while (!hasRoom(account, bytes)) {
       Optional<Account> largest =
           evictable.stream()
               .filter(candidate -> candidate.use == account.use)
-              .filter(candidate -> candidate.bytes > SMALL_BYTES)
               .max(Comparator.comparingLong(candidate -> candidate.bytes));
       if (largest.isEmpty() || largest.get() == account) {
         return false;
@@ -163,7 +165,7 @@
   private Optional<Waiter> firstGrantable(Queue<Waiter> queue) {
     boolean isLargeBefore = false;
     for (Waiter waiter : queue) {
-      boolean isSmall = waiter.account.bytes + waiter.bytes <= SMALL_BYTES;
+      boolean isSmall = waiter.account.staysSmall(waiter.bytes);
       if ((isSmall || !isLargeBefore) && hasRoom(waiter.account, waiter.bytes)) {
         return Optional.of(waiter);
       }
@@ -214,7 +216,7 @@
      * @return whether the bytes were added at once
      */
     public boolean growOrWait(long added, Runnable granted) {
-      boolean isFirst = waiters.get(use).isEmpty() || bytes + added <= SMALL_BYTES;
+      boolean isFirst = waiters.get(use).isEmpty() || staysSmall(added);
       if (isFirst && grow(added)) {
         return true;
       }
@@ -265,14 +267,18 @@
       bytes += added;
       used += added;
       if (evicted != null) {
-        if (bytes > SMALL_BYTES) {
-          evictable.add(this);
-        } else {
+        if (staysSmall(0)) {
           evictable.remove(this);
+        } else {
+          evictable.add(this);
         }
       }
     }
 
+    private boolean staysSmall(long added) {
+      return bytes + added <= SMALL_BYTES;
+    }
+
     private void evict() {
       evicted.run();
       close();
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Client.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Client.java
@@ -110,17 +110,13 @@
 
   /** Makes a call over the present connection. */
   Answer call(Route route) throws IOException {
-    return call(route, "");
+    return call(route, "", "body");
   }
 
   /**
-   * Makes a call over the present connection whose prompt has a further part unless it is empty.
+   * Makes a call with a given body over the present connection, whose prompt has a further part
+   * unless it is empty.
    */
-  Answer call(Route route, String part) throws IOException {
-    return call(route, part, "body");
-  }
-
-  /** Makes a call like {@link #call(Route, String)} with a given body. */
   Answer call(Route route, String part, String body) throws IOException {
     int customer = random.nextInt(site.keys().size());
     List<String> customers = List.copyOf(site.keys().keySet());
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
 import org.bulrushpier.rig.gateway.ReplicaFake.OrderBehaviour;
+import org.bulrushpier.site.CallerLimits;
 
 /**
  * The faults of a soak in the order of their starts, drawn from a seed as a sequence of overlapping
@@ -24,7 +25,7 @@
   private static final long[] IDLE_TIMEOUTS_MILLIS = {2_000, 5_000, 15_000};
   private static final int FOREIGN_SIZE = 3_000;
   private static final int MAX_LONG_BODIES = 24;
-  private static final int MAX_BODY_BYTES = 4 * 1_024 * 1_024;
+  private static final int MAX_BODY_BYTES = CallerLimits.DEFAULT.bodyBytes();
 
   /**
    * A fault and its start. Immutable and thread-safe.
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -308,7 +308,9 @@
     for (int i = 0; i * gapMillis < millis; i++) {
       Instance instance = instances.get(i % INSTANCES);
       Client client = new Client(this, observer, part + "-" + i, false, i);
-      calls.add(Thread.ofVirtual().start(() -> callOnce(client, instance, part)));
+      calls.add(
+          Thread.ofVirtual()
+              .start(() -> callOnce(client, instance, CallerFake.Route.STREAM, part, "body")));
       Faults.sleep(gapMillis);
     }
     calls.forEach(SoakSite::join);
@@ -323,25 +325,18 @@
     List<Thread> calls = new ArrayList<>();
     for (int i = 0; i < fault.calls(); i++) {
       Client client = new Client(this, observer, "long" + series + "-" + i, false, i);
-      calls.add(Thread.ofVirtual().start(() -> sendOnce(client, instance, body)));
+      calls.add(
+          Thread.ofVirtual()
+              .start(() -> callOnce(client, instance, CallerFake.Route.ONCE, "", body)));
     }
     calls.forEach(SoakSite::join);
   }
 
-  private static void sendOnce(Client client, Instance instance, String body) {
+  private static void callOnce(
+      Client client, Instance instance, CallerFake.Route route, String part, String body) {
     try {
       if (instance.isReady() && client.connect(instance)) {
-        client.call(CallerFake.Route.ONCE, "", body);
-      }
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
-  private static void callOnce(Client client, Instance instance, String part) {
-    try {
-      if (instance.isReady() && client.connect(instance)) {
-        client.call(CallerFake.Route.STREAM, part);
+        client.call(route, part, body);
       }
     } catch (IOException e) {
       throw new IllegalStateException(e);
