--- a/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
+++ b/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
@@ -1,7 +1,9 @@
 package org.bulrushpier.settings;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.bulrushpier.Address;
 import org.bulrushpier.Finding;
@@ -26,6 +28,15 @@
  * @param retryWindowMillis the length of the window in which retries are counted
  * @param orderLeaseMillis the minimum time between the orders of two holders of an order lease
  * @param weightsChangeMillis the time within which a new weight version must be in place
+ * @param evacuationMillis the time within which an evacuation of a failure domain must be in force,
+ *     or 0 if failure domains are not evacuated
+ * @param coldOverage the factor by which the requests of a cold replica in any second may exceed
+ *     the rate that its service is configured with
+ * @param coldSlack the requests that a cold replica may get in any second in addition
+ * @param storeReaders the number of instances in a failure domain that read the metadata store for
+ *     the others, or 0 if each instance reads it
+ * @param region the region of the failure domain, or empty
+ * @param domainRegions the region of each failure domain of the site, by the name of the domain
  */
 public record GatewaySettings(
     String name,
@@ -42,16 +53,26 @@
     double retryMinimum,
     long retryWindowMillis,
     long orderLeaseMillis,
-    long weightsChangeMillis) {
+    long weightsChangeMillis,
+    long evacuationMillis,
+    double coldOverage,
+    double coldSlack,
+    int storeReaders,
+    String region,
+    Map<String, String> domainRegions) {
 
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final long MAX_MILLIS = 3_600_000;
   private static final long MAX_SECONDS = 3_600;
   private static final double MAX_RETRIES = 1_000_000;
+  private static final double MAX_COLD_OVERAGE = 100;
+  private static final double MAX_COLD_SLACK = 10_000;
+  private static final int MAX_STORE_READERS = 1_000;
 
-  /** Copies the list. */
+  /** Copies the collections. */
   public GatewaySettings {
     seeds = List.copyOf(seeds);
+    domainRegions = Map.copyOf(domainRegions);
   }
 
   /**
@@ -88,6 +109,20 @@
     return seeds;
   }
 
+  /** Reads the regions of the failure domains, a list of {@code domain:region}. */
+  private static Map<String, String> domainRegions(SectionReader reader) {
+    Map<String, String> regions = new HashMap<>();
+    for (String entry : reader.optional("domain-regions", "").split(",")) {
+      String[] names = entry.strip().split(":", -1);
+      if (names.length == 2 && !names[0].isEmpty() && !names[1].isEmpty()) {
+        regions.put(names[0], names[1]);
+      } else if (!entry.isBlank()) {
+        reader.addFinding("domain-regions", "'" + entry.strip() + "' is not domain:region");
+      }
+    }
+    return regions;
+  }
+
   private static GatewaySettings readGateway(SectionReader reader) {
     Optional<Address> fleetAddress = reader.optionalAddress("fleet-address");
     return new GatewaySettings(
@@ -105,6 +140,12 @@
         reader.decimal("retry-minimum", 0, MAX_RETRIES, 0),
         MILLIS_PER_SECOND * reader.integer("retry-window-seconds", 1, MAX_SECONDS, 10),
         reader.integer("order-lease-ms", 1, MAX_MILLIS, 3_000),
-        reader.integer("weights-change-ms", 1, MAX_MILLIS, 8_000));
+        reader.integer("weights-change-ms", 1, MAX_MILLIS, 8_000),
+        reader.integer("evacuation-ms", 0, MAX_MILLIS, 0),
+        reader.decimal("cold-overage", 0, MAX_COLD_OVERAGE, 1),
+        reader.decimal("cold-slack", 0, MAX_COLD_SLACK, 0),
+        (int) reader.integer("store-readers", 0, MAX_STORE_READERS, 0),
+        reader.optional("region", ""),
+        domainRegions(reader));
   }
 }
--- a/library/src/test/java/org/bulrushpier/settings/GatewaySettingsTest.java
+++ b/library/src/test/java/org/bulrushpier/settings/GatewaySettingsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.bulrushpier.Address;
 import org.bulrushpier.Finding;
 import org.junit.jupiter.api.Test;
@@ -49,4 +50,32 @@
 
     assertThat(findings).hasSize(2);
   }
+
+  @Test
+  void partsWithoutSettingsAreOff() {
+    GatewaySettings settings = parse("");
+
+    assertThat(findings).isEmpty();
+    assertThat(settings.evacuationMillis()).isZero();
+    assertThat(settings.storeReaders()).isZero();
+    assertThat(settings.domainRegions()).isEmpty();
+  }
+
+  @Test
+  void regionsOfDomainsAreRead() {
+    GatewaySettings settings =
+        parse("region = lima\ndomain-regions = norte:lima, sur:ica\nevacuation-ms = 5000\n");
+
+    assertThat(findings).isEmpty();
+    assertThat(settings.domainRegions())
+        .containsExactlyInAnyOrderEntriesOf(Map.of("norte", "lima", "sur", "ica"));
+    assertThat(settings.evacuationMillis()).isEqualTo(5_000);
+  }
+
+  @Test
+  void unreadableRegionIsReported() {
+    parse("domain-regions = norte:lima,sur\n");
+
+    assertThat(findings).hasSize(1);
+  }
 }
