--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -344,7 +344,13 @@
         settings.retryMinimum(),
         settings.retryWindowMillis(),
         settings.orderLeaseMillis(),
-        settings.weightsChangeMillis());
+        settings.weightsChangeMillis(),
+        settings.evacuationMillis(),
+        settings.coldOverage(),
+        settings.coldSlack(),
+        settings.storeReaders(),
+        settings.region(),
+        settings.domainRegions());
   }
 
   private double reportingInstances(String host) {
