Share no cached parts under a configuration that may be outdated

Cause: keys are refused once the configuration is too old, but public prompts went on under the namespace of the last known configuration without any limit of age. Evidence: publicPromptsShareNoPartsWithCustomersWhile... failed before (one salt in place of two) and passes now. From the age at which keys are refused, prompts use a namespace of one customer alone, so nothing that others made is found, and nothing is made that others find.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -14,6 +14,7 @@
 import org.bulrushpier.site.Configuration;
 import org.bulrushpier.site.ConfiguredRoute;
 import org.bulrushpier.site.KeyHolder;
+import org.bulrushpier.site.KnownConfiguration;
 import org.bulrushpier.site.Service;
 
 /**
@@ -130,12 +131,18 @@
    */
   String salt(int version) {
     String model = prompt.map(PromptShape::model).orElse("");
-    CacheNamespaces namespaces =
-        context
-            .configuration()
-            .configuration()
-            .map(Configuration::cacheNamespaces)
-            .orElse(CacheNamespaces.SHARED_BY_ALL);
-    return new CacheSalt(model, version, namespaces.namespace(holder.customer())).text();
+    return new CacheSalt(model, version, namespace()).text();
+  }
+
+  private String namespace() {
+    KnownConfiguration known = context.configuration();
+    if (!context.keyFreshness().mayAcceptKeys(known.ageMillis(Moment.now()))) {
+      return CacheNamespaces.outdatedNamespace(holder.customer());
+    }
+    return known
+        .configuration()
+        .map(Configuration::cacheNamespaces)
+        .orElse(CacheNamespaces.SHARED_BY_ALL)
+        .namespace(holder.customer());
   }
 }
--- a/library/src/main/java/org/bulrushpier/site/CacheNamespaces.java
+++ b/library/src/main/java/org/bulrushpier/site/CacheNamespaces.java
@@ -24,6 +24,7 @@
 
   private static final String ISOLATED_PREFIX = "customer.";
   private static final String SHARED_PREFIX = "shared.";
+  private static final String OUTDATED_PREFIX = "outdated.";
   private static final int DIGEST_CHARACTERS = 16;
 
   private final Set<String> isolated;
@@ -58,4 +59,16 @@
   public String namespace(String customer) {
     return isolated.contains(customer) ? ISOLATED_PREFIX + customer : shared;
   }
+
+  /**
+   * Returns the namespace of a customer's prompt parts while the configuration may be outdated.
+   * Customers may have been isolated since, so it is shared with no other customer, nor with the
+   * same customer's requests under a configuration that is known to be current.
+   *
+   * @param customer the name of the customer, empty if it is unknown
+   * @return the namespace
+   */
+  public static String outdatedNamespace(String customer) {
+    return OUTDATED_PREFIX + customer;
+  }
 }
--- a/library/src/test/java/org/bulrushpier/site/CacheNamespacesTest.java
+++ b/library/src/test/java/org/bulrushpier/site/CacheNamespacesTest.java
@@ -59,4 +59,15 @@
 
     assertThat(namespaces.namespace(shared)).isNotEqualTo(shared);
   }
+
+  @Test
+  void outdatedNamespaceIsThatOfOneCustomerAlone() {
+    CacheNamespaces namespaces = CacheNamespaces.of(Set.of("surco"));
+
+    assertThat(CacheNamespaces.outdatedNamespace("comas"))
+        .isNotEqualTo(CacheNamespaces.outdatedNamespace(""))
+        .isNotEqualTo(CacheNamespaces.outdatedNamespace("surco"))
+        .isNotEqualTo(namespaces.namespace("comas"))
+        .isNotEqualTo(namespaces.namespace("surco"));
+  }
 }
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -16,8 +16,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.bulrushpier.Address;
 import org.bulrushpier.daemon.serve.Gateway;
@@ -48,6 +50,8 @@
          "timeout_ms":20000,"goal_ms":5000,"service":"plain","max_attempts":2},
         {"name":"stream","host":"127.0.0.1","path_prefix":"/stream/","kind":"streaming",
          "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":2,"can_resume":true},
+        {"name":"open","host":"127.0.0.1","path_prefix":"/open/","kind":"streaming","public":true,
+         "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":1},
         {"name":"note","host":"127.0.0.1","path_prefix":"/note/","kind":"streaming",
          "timeout_ms":20000,"goal_ms":5000,"service":"engines","max_attempts":1}],
        "services":[{"name":"plain","max_conns":50},
@@ -484,6 +488,32 @@
         .isEqualTo(200);
   }
 
+  /**
+   * Guards against prompts on public routes that use the parts of a customer which was isolated
+   * while the instance could not reach the store.
+   */
+  @Test
+  void publicPromptsShareNoPartsWithCustomersWhileConfigurationMayBeOutdated() throws Exception {
+    gateway.stop();
+    start(2_000);
+    assertThat(status(generation("/stream/a"))).isEqualTo(200);
+    assertThat(status(generation("/open/a"))).isEqualTo(200);
+    assertThat(salts()).hasSize(1);
+
+    metadataStore.setDown(true);
+    await(() -> status(generation("/stream/a")) == 503);
+    assertThat(status(generation("/open/a"))).isEqualTo(200);
+
+    assertThat(salts()).hasSize(2);
+  }
+
+  private Set<String> salts() {
+    return replicasOf("engines")
+        .flatMap(engine -> engine.executions().stream())
+        .map(execution -> execution.headers().get("cache-salt"))
+        .collect(Collectors.toSet());
+  }
+
   @Test
   void discardedHistoryIsFollowedByNewList() throws Exception {
     metadataStore.discardHistory();
