Evacuations of failure domains

Cause: no code read the operators' objects evacuations/DOMAIN, so replicas of an evacuated domain went on getting requests.

Change: a watch of the kind, started only where the settings name a bound; Evacuations holds what was read; ReplicaSelection excludes the replicas for every placement and once more when a connection is open, with a reason for each exclusion (Exclusion). Candidates refuses a request at once if operators leave no replica.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -891,8 +891,7 @@
     public boolean isObsolete() {
       return remainingMillis() <= 0
           || !isVersionAllowed()
-          || replica.isLeaving()
-          || replica.isDeferred(MonotonicClock.millis())
+          || selection.isWithdrawn(replica, MonotonicClock.millis())
           || parts.check(attempts).isPresent();
     }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -64,6 +64,18 @@
   /** New weights must be in place within 8 s, of which an order takes a few seconds. */
   private static final StoreWatch.Timing WEIGHTS_TIMING = new StoreWatch.Timing(3_000, 50, true);
 
+  /** The longest wait of a watch for evacuations, in milliseconds. */
+  private static final long MAX_EVACUATION_WAIT_MILLIS = 3_000;
+
+  /**
+   * The wait of a watch for evacuations as a share of the time within which they must be in force;
+   * the rest is for a call on another connection after one that stays silent.
+   */
+  private static final double EVACUATION_WAIT_SHARE = 0.6;
+
+  /** Pause after changes of evacuations, in milliseconds: several may come together. */
+  private static final long EVACUATION_PAUSE_MILLIS = 50;
+
   /** The lease lists the engines that are changing; stale data only delays requests at those. */
   private static final StoreWatch.Timing LEASE_TIMING = new StoreWatch.Timing(3_000, 150);
 
@@ -174,6 +186,7 @@
     watch(StoreFormat.REPLICAS, REPLICA_TIMING, new ReplicaWatcher(context));
     watch(StoreFormat.WEIGHTS, WEIGHTS_TIMING, new WeightsWatcher(context));
     watch(StoreFormat.LEASES, LEASE_TIMING, rollouts);
+    watchEvacuations();
     loop.every(TICK_MILLIS, this::tick);
   }
 
@@ -205,6 +218,7 @@
             if (fleet != null) {
               fleet.seeds(newer.seeds());
             }
+            watchEvacuations();
             context.log().event("reloaded", "platform", newer.platformAddress());
           }
         });
@@ -215,6 +229,22 @@
         .start();
   }
 
+  /**
+   * Starts the watch for evacuations if the settings ask for it. It is never ended: settings that
+   * lack it must not send load to a domain that operators have emptied.
+   */
+  private void watchEvacuations() {
+    long millis = settings.evacuationMillis();
+    if (millis == 0 || context.evacuations().isWatched()) {
+      return;
+    }
+    long wait = Math.min(MAX_EVACUATION_WAIT_MILLIS, (long) (millis * EVACUATION_WAIT_SHARE));
+    watch(
+        StoreFormat.EVACUATIONS,
+        new StoreWatch.Timing(wait, EVACUATION_PAUSE_MILLIS),
+        EvacuationWatcher.of(context));
+  }
+
   private void tick() {
     long now = MonotonicClock.millis();
     long stalledMillis = context.stalls().tick(now);
@@ -274,6 +304,7 @@
         !isShuttingDown
             && context.keyFreshness().isReady(age)
             && context.weights().isListed()
+            && context.evacuations().areKnown()
             && context.replicas().isListed();
     if (isReady != wasReady) {
       wasReady = isReady;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -25,6 +25,7 @@
 import org.bulrushpier.rollout.TargetWeights;
 import org.bulrushpier.rollout.WeightInquiry;
 import org.bulrushpier.settings.GatewaySettings;
+import org.bulrushpier.site.Evacuations;
 import org.bulrushpier.site.KeyFreshness;
 import org.bulrushpier.site.KnownConfiguration;
 import org.bulrushpier.site.Service;
@@ -46,6 +47,7 @@
   private final KnownConfiguration configuration = new KnownConfiguration();
   private final ReplicaTable replicas = new ReplicaTable();
   private final TargetWeights weights = new TargetWeights();
+  private final Evacuations evacuations = new Evacuations();
   private final WeightInquiry weightInquiry =
       WeightInquiry.of(weights, ThreadLocalRandom.current().nextLong());
   private final ReplicaClock replicaClock = new ReplicaClock();
@@ -115,6 +117,11 @@
     return weights;
   }
 
+  /** Returns the failure domains whose replicas must get no requests. */
+  Evacuations evacuations() {
+    return evacuations;
+  }
+
   WeightInquiry weightInquiry() {
     return weightInquiry;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -65,6 +65,11 @@
   private final Counter replicaCrashes =
       counter("bulrushpier.replicas.crashed", "Crashes of replicas that broke off an answer");
 
+  private final Counter evacuationsApplied =
+      counter(
+          "bulrushpier.requests.kept.evacuated",
+          "Requests for which replicas of evacuated failure domains were passed over");
+
   private final Timer outdatedWeights =
       timer(
           "bulrushpier.weights.outdated",
@@ -142,6 +147,11 @@
     replicaCrashes.increment();
   }
 
+  /** Counts a request that may not be sent to replicas of an evacuated failure domain. */
+  void keptFromEvacuated() {
+    evacuationsApplied.increment();
+  }
+
   void placed(int sharedPrefillTokens, int fetchedTokens) {
     sharedRead.increment(sharedPrefillTokens);
     fetched.increment(fetchedTokens);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -7,7 +7,9 @@
 import org.bulrushpier.Moment;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.placing.CacheSalt;
+import org.bulrushpier.placing.Candidates;
 import org.bulrushpier.placing.Placement;
+import org.bulrushpier.replica.Exclusion;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.WeightPreference;
 import org.bulrushpier.site.CacheNamespaces;
@@ -36,6 +38,9 @@
   private final KeyHolder holder;
   private final String service;
 
+  /** Whether this request has been counted among those kept from evacuated domains. */
+  private boolean isCountedAsKept;
+
   ReplicaSelection(
       GatewayContext context,
       Optional<PromptShape> prompt,
@@ -67,10 +72,15 @@
    * @param now the current monotonic time, in milliseconds
    */
   Placement choose(Set<String> excluded, long remaining, long now) {
-    Optional<Service> target =
-        context.configuration().configuration().flatMap(c -> c.service(service));
-    List<Replica> usable =
-        context.replicas().replicasOf(service).stream().filter(r -> r.isUsable(now)).toList();
+    if (!context.evacuations().areKnown()) {
+      return new Placement.Refuse("the evacuations are not known yet", UNCONFIGURED_RETRY_MILLIS);
+    }
+    Candidates candidates = candidates(now);
+    Optional<Placement.Refuse> refusal = candidates.refusal();
+    if (refusal.isPresent()) {
+      return refusal.get();
+    }
+    List<Replica> usable = candidates.usable();
     if (usable.isEmpty()) {
       OptionalLong deferral = context.replicas().deferralMillis(service, now);
       if (deferral.isPresent()) {
@@ -79,11 +89,42 @@
             deferral.getAsLong());
       }
     }
+    Optional<Service> target =
+        context.configuration().configuration().flatMap(c -> c.service(service));
     return target.isPresent() && target.get() instanceof Service.Engines engines
         ? placeOnEngine(engines, usable, excluded, remaining, now)
         : context.plainPlacement().choose(usable, excluded, now);
   }
 
+  private Candidates candidates(long now) {
+    Candidates candidates =
+        Candidates.of(context.replicas().replicasOf(service), replica -> exclusion(replica, now));
+    if (candidates.isAnyEvacuated() && !isCountedAsKept) {
+      isCountedAsKept = true;
+      context.metrics().keptFromEvacuated();
+    }
+    return candidates;
+  }
+
+  /**
+   * Returns the first reason for which a replica may not get the request now.
+   *
+   * @param replica the replica
+   * @param now the current monotonic time, in milliseconds
+   * @return the reason, or empty if it may get the request
+   */
+  Optional<Exclusion> exclusion(Replica replica, long now) {
+    if (!replica.isLeaving() && !context.evacuations().mayReceive(replica.entry().domain())) {
+      return Optional.of(Exclusion.EVACUATED);
+    }
+    return replica.exclusion(now);
+  }
+
+  /** Returns whether a request that was placed at a replica must not be sent to it any more. */
+  boolean isWithdrawn(Replica replica, long now) {
+    return exclusion(replica, now).filter(Exclusion::isWithdrawal).isPresent();
+  }
+
   private Placement placeOnEngine(
       Service.Engines engines,
       List<Replica> usable,
--- /dev/null
+++ b/library/src/main/java/org/bulrushpier/placing/Candidates.java
@@ -0,0 +1,85 @@
+package org.bulrushpier.placing;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.bulrushpier.replica.Exclusion;
+import org.bulrushpier.replica.Replica;
+
+/**
+ * The replicas of a service that may get a request now, and why the others may not.
+ *
+ * <p>Immutable and thread-safe, except for the replicas.
+ *
+ * @param usable the replicas that may get the request
+ * @param excluded the number of the other replicas by the first reason that applies
+ */
+public record Candidates(List<Replica> usable, Map<Exclusion, Integer> excluded) {
+
+  /**
+   * Retry delay while operators let no replica take a request, in milliseconds. They change their
+   * mind in minutes rather than within the time that a caller waits.
+   */
+  static final long BARRED_RETRY_MILLIS = 1_000;
+
+  /** Copies the collections. */
+  public Candidates {
+    usable = List.copyOf(usable);
+    excluded = Map.copyOf(excluded);
+  }
+
+  /**
+   * Sorts out the replicas that may get a request.
+   *
+   * @param replicas the replicas of a service
+   * @param exclusion returns the reason for which a replica may not get the request, if any
+   * @return the candidates
+   */
+  public static Candidates of(
+      List<Replica> replicas, Function<Replica, Optional<Exclusion>> exclusion) {
+    List<Replica> usable = new ArrayList<>();
+    Map<Exclusion, Integer> excluded = new EnumMap<>(Exclusion.class);
+    for (Replica replica : replicas) {
+      Optional<Exclusion> reason = exclusion.apply(replica);
+      if (reason.isEmpty()) {
+        usable.add(replica);
+      } else {
+        excluded.merge(reason.get(), 1, Integer::sum);
+      }
+    }
+    return new Candidates(usable, excluded);
+  }
+
+  /** Returns whether a replica is excluded by an evacuation. */
+  public boolean isAnyEvacuated() {
+    return excluded.containsKey(Exclusion.EVACUATED);
+  }
+
+  /**
+   * Returns the refusal of a request that no replica may take as long as operators do not change
+   * their mind, so that a wait would be in vain.
+   *
+   * @return the refusal, or empty if a replica may take the request now or soon
+   */
+  public Optional<Placement.Refuse> refusal() {
+    boolean isBarred =
+        usable.isEmpty()
+            && isAnyEvacuated()
+            && excluded.keySet().stream().allMatch(Exclusion::isLasting);
+    return isBarred
+        ? Optional.of(
+            new Placement.Refuse("no replica may take it: " + reasons(), BARRED_RETRY_MILLIS))
+        : Optional.empty();
+  }
+
+  private String reasons() {
+    return excluded.entrySet().stream()
+        .sorted(Map.Entry.comparingByKey())
+        .map(entry -> entry.getValue() + " " + entry.getKey().description())
+        .collect(Collectors.joining(", "));
+  }
+}
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.bulrushpier.call.UpstreamResponse.ReportedLoad;
 import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.limit.CircuitBreaker;
@@ -217,10 +218,30 @@
    *     permits requests
    */
   public boolean isUsable(long nowMillis) {
-    return !isLeaving()
-        && !isDeferred(nowMillis)
-        && nowMillis >= pausedUntilMillis
-        && breaker.isUsable(nowMillis);
+    return exclusion(nowMillis).isEmpty();
+  }
+
+  /**
+   * Returns why no request may be sent to the replica now, as far as the replica itself is the
+   * reason.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the first reason that applies, or empty if requests may be sent
+   */
+  public Optional<Exclusion> exclusion(long nowMillis) {
+    if (isLeaving()) {
+      return Optional.of(Exclusion.LEAVING);
+    }
+    if (isDeferred(nowMillis)) {
+      return Optional.of(Exclusion.DEFERRED);
+    }
+    if (nowMillis < pausedUntilMillis) {
+      return Optional.of(Exclusion.PAUSED);
+    }
+    if (!breaker.isUsable(nowMillis)) {
+      return Optional.of(Exclusion.BREAKER_OPEN);
+    }
+    return Optional.empty();
   }
 
   /** Returns the circuit breaker, which is driven by the results of real requests. */
--- /dev/null
+++ b/library/src/test/java/org/bulrushpier/placing/CandidatesTest.java
@@ -0,0 +1,100 @@
+package org.bulrushpier.placing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.bulrushpier.Address;
+import org.bulrushpier.replica.Exclusion;
+import org.bulrushpier.replica.Replica;
+import org.bulrushpier.replica.ReplicaEntry;
+import org.bulrushpier.replica.ReplicaTable;
+import org.junit.jupiter.api.Test;
+
+class CandidatesTest {
+
+  private final ReplicaTable table = new ReplicaTable();
+  private final Map<Replica, Exclusion> exclusions = new HashMap<>();
+
+  private Candidates candidates() {
+    return Candidates.of(
+        List.copyOf(table.all()), replica -> Optional.ofNullable(exclusions.get(replica)));
+  }
+
+  private Replica replica(int number) {
+    String id = "e" + number;
+    table.put(
+        new ReplicaEntry(
+            id, "records", Address.parse("10.0.0.1:8080"), "norte", 6, false, 7, Map.of()));
+    return table.find(id);
+  }
+
+  @Test
+  void otherReplicasTakeTheRequestsOfAnEvacuatedDomain() {
+    exclusions.put(replica(0), Exclusion.EVACUATED);
+    Replica other = replica(1);
+
+    assertThat(candidates().usable()).containsExactly(other);
+    assertThat(candidates().refusal()).isEmpty();
+    assertThat(candidates().isAnyEvacuated()).isTrue();
+  }
+
+  @Test
+  void requestIsRefusedWithTheReasonsIfAllDomainsAreEvacuated() {
+    exclusions.put(replica(0), Exclusion.EVACUATED);
+    exclusions.put(replica(1), Exclusion.LEAVING);
+    exclusions.put(replica(2), Exclusion.EVACUATED);
+
+    assertThat(candidates().refusal())
+        .contains(
+            new Placement.Refuse(
+                "no replica may take it: 1 leaving, 2 in an evacuated failure domain",
+                Candidates.BARRED_RETRY_MILLIS));
+  }
+
+  @Test
+  void requestMayWaitForReplicasThatAreExcludedBriefly() {
+    exclusions.put(replica(0), Exclusion.EVACUATED);
+    exclusions.put(replica(1), Exclusion.PAUSED);
+
+    assertThat(candidates().refusal()).isEmpty();
+  }
+
+  @Test
+  void serviceWithoutEvacuationsIsLeftToThePlacement() {
+    assertThat(candidates().refusal()).isEmpty();
+
+    exclusions.put(replica(0), Exclusion.LEAVING);
+
+    assertThat(candidates().refusal()).isEmpty();
+  }
+
+  @Property
+  void everyReplicaIsUsableOrCountedUnderItsReason(
+      @ForAll @Size(max = 20) List<Optional<Exclusion>> reasons) {
+    CandidatesTest test = new CandidatesTest();
+    for (int i = 0; i < reasons.size(); i++) {
+      Replica replica = test.replica(i);
+      reasons.get(i).ifPresent(reason -> test.exclusions.put(replica, reason));
+    }
+
+    Candidates candidates = test.candidates();
+
+    int excluded = candidates.excluded().values().stream().mapToInt(Integer::intValue).sum();
+    assertThat(candidates.usable().size() + excluded).isEqualTo(reasons.size());
+    assertThat(candidates.usable()).noneMatch(test.exclusions::containsKey);
+    Set<Exclusion> lasting = EnumSet.of(Exclusion.LEAVING, Exclusion.EVACUATED);
+    assertThat(candidates.refusal().isPresent())
+        .isEqualTo(
+            candidates.usable().isEmpty()
+                && reasons.contains(Optional.of(Exclusion.EVACUATED))
+                && lasting.containsAll(candidates.excluded().keySet()));
+  }
+}
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -135,6 +135,7 @@
   private final Map<Socket, String> refusals = new WeakHashMap<>();
   private final CountDownLatch released = new CountDownLatch(1);
   private final AtomicLong endlessBytes = new AtomicLong();
+  private String domain = "norte";
   private Behaviour behaviour = Behaviour.ANSWER;
   private Script script = (execution, isFirst) -> Optional.empty();
   private Pace pace = new Pace(0, 0, 0);
@@ -449,10 +450,19 @@
    * @return the entry as JSON
    */
   public synchronized String entry(String service, String state) {
-    return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"norte\",\"version\":\"v1\","
+    return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
             + "\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":%d,"
             + "\"models\":[{\"name\":\"m0\",\"version\":%d,\"adapters\":[]}]}")
-        .formatted(service, address(), state, bornMillis, version);
+        .formatted(service, address(), domain, state, bornMillis, version);
+  }
+
+  /**
+   * Sets the failure domain that the replica registers with.
+   *
+   * @param newDomain the name of the domain
+   */
+  public synchronized void setDomain(String newDomain) {
+    domain = newDomain;
   }
 
   /** Registers as another incarnation from now on, as a replica that left does when it returns. */
--- a/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -55,6 +55,7 @@
   private final List<Instance> instances = new ArrayList<>();
   private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
+  private final List<String> furtherSettings = new ArrayList<>();
   private final AtomicInteger lastId = new AtomicInteger();
 
   /** A generation that an engine began to execute at a monotonic time in milliseconds. */
@@ -158,6 +159,23 @@
     return site;
   }
 
+  /**
+   * Starts the fakes with one engine in each of the named failure domains.
+   *
+   * @param domains the domain of each engine
+   * @param settings further lines of the instances' settings
+   */
+  static GatewaySite startInDomains(List<String> domains, String... settings) throws IOException {
+    GatewaySite site = start(domains.size());
+    site.furtherSettings.addAll(List.of(settings));
+    for (int i = 0; i < domains.size(); i++) {
+      ReplicaFake engine = site.engines.get(i);
+      engine.setDomain(domains.get(i));
+      site.register(engine);
+    }
+    return site;
+  }
+
   private void recordArrival(ReplicaFake.Execution execution) {
     arrivals.add(new Arrival(MonotonicClock.millis(), execution));
   }
@@ -255,7 +273,8 @@
             "fleet-address = " + host + ":" + fleetPort,
             "seeds = " + seed + ":" + fleetPort,
             "order-lease-ms = 300",
-            "weights-change-ms = " + CHANGE_MILLIS));
+            "weights-change-ms = " + CHANGE_MILLIS,
+            String.join("\n", furtherSettings)));
   }
 
   /** Returns the settings file of an instance with new addresses and the given further lines. */
