Read a load of three or four figures, and scale predictions with the fourth

Cause: a load field of four figures was dropped whole, so no report of replicas that share their machines with others was ever used. The fourth figure says how long work takes there at the moment, in hundredths of the usual time. Change: both forms are read; a malformed figure costs itself alone (a field with neither the numbers of requests nor a duration is still dropped). The engine's work in predicted waits and the load of plain replicas scale with the factor, which is smoothed and fades to the usual time in about a second (docs/design/replica-load.md). Replicas that send three figures are served as before.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -661,6 +661,8 @@
               replica.ownRequests(),
               "toldWaiting",
               replica.reportedLoad().waiting(),
+              "durationFactor",
+              Math.round(100 * replica.workDurationFactor(now)) / 100.0,
               "weights",
               weightVersion,
               "outdatedMs",
--- a/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
+++ b/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
@@ -44,13 +44,40 @@
   private static final int MIN_SERVER_ERROR = 500;
 
   /**
-   * The load that an upstream reports with a response. Immutable and thread-safe.
+   * The load that an upstream reports with a response. Each figure may be {@link #UNKNOWN}.
+   * Immutable and thread-safe.
    *
    * @param running the number of requests that it runs
    * @param waiting the number of requests in its queue
    * @param slots the number of requests that it can run concurrently
+   * @param durationPercent how long work takes there at the moment, in hundredths of the usual time
    */
-  public record ReportedLoad(int running, int waiting, int slots) {}
+  public record ReportedLoad(int running, int waiting, int slots, int durationPercent) {
+
+    /** Stands for a figure that was not reported. */
+    public static final int UNKNOWN = -1;
+
+    /**
+     * Creates a report that does not say how long work takes.
+     *
+     * @param running the number of requests that it runs
+     * @param waiting the number of requests in its queue
+     * @param slots the number of requests that it can run concurrently
+     */
+    public ReportedLoad(int running, int waiting, int slots) {
+      this(running, waiting, slots, UNKNOWN);
+    }
+
+    /** Returns whether the numbers of running and of waiting requests are both known. */
+    public boolean hasRequests() {
+      return running != UNKNOWN && waiting != UNKNOWN;
+    }
+
+    /** Returns whether it is known how long work takes. */
+    public boolean hasDuration() {
+      return durationPercent != UNKNOWN;
+    }
+  }
 
   /**
    * Checks whether this response belongs to a request. A response that names no request may be one
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -169,8 +169,10 @@
           sources.computeIfAbsent(
               version, v -> PartSources.of(prompt.parts(), salt, stores, nowMillis));
       CachePlan plan = CachePlanner.plan(prompt, salt, service, engine, versionSources);
-      double wait = predictWait(prompt, service, engine, priority, nowMillis);
-      double millis = ownMillis(plan) + wait + faultCost(engine, nowMillis);
+      double duration = engine.workDurationFactor(nowMillis);
+      double wait = predictWait(prompt, service, engine, priority, duration, nowMillis);
+      double own = ownMillis(plan, duration);
+      double millis = own + wait + faultCost(engine, nowMillis);
       if (!weights.allows(version, millis)) {
         continue;
       }
@@ -180,7 +182,7 @@
               + cacheCost(engine, plan, home)
               + weights.penaltyMillis(version);
       if (best == null || cost < best.cost) {
-        best = new Candidate(engine, plan, wait, millis, cost);
+        best = new Candidate(engine, plan, wait, own, millis, cost);
       }
     }
     return best == null
@@ -192,11 +194,17 @@
    * An engine with the predictions for a request.
    *
    * @param waitMillis the predicted wait before the request's own prefill
+   * @param ownMillis the predicted time to the first token after that wait
    * @param totalMillis the predicted time to the first token, with the cost of faults
    * @param cost the cost by which engines are compared, in milliseconds
    */
   private record Candidate(
-      Replica engine, CachePlan plan, double waitMillis, double totalMillis, double cost) {}
+      Replica engine,
+      CachePlan plan,
+      double waitMillis,
+      double ownMillis,
+      double totalMillis,
+      double cost) {}
 
   /** Decides whether a request is sent to the best engine, waits for one, or is refused. */
   private Placement decide(Candidate best, long goalMillis, long leftMillis) {
@@ -205,7 +213,7 @@
       return new Placement.Refuse(
           "predicted first token after " + (long) best.totalMillis + " ms", wait);
     }
-    double limit = Math.max(goalMillis - ownMillis(best.plan), goalMillis * MIN_WAIT_SHARE);
+    double limit = Math.max(goalMillis - best.ownMillis, goalMillis * MIN_WAIT_SHARE);
     if (best.waitMillis > limit) {
       return new Placement.Wait(
           "predicted wait at the best engine is " + (long) best.waitMillis + " ms");
@@ -250,8 +258,9 @@
   }
 
   /** Predicts the time to the first token of a request that waits for no other, in milliseconds. */
-  private double ownMillis(CachePlan plan) {
-    return rate.startMillis() + rate.millis(plan.prefillTokens()) + plan.transferMillis();
+  private double ownMillis(CachePlan plan, double duration) {
+    double work = rate.startMillis() + rate.millis(plan.prefillTokens());
+    return duration * work + plan.transferMillis();
   }
 
   /**
@@ -259,7 +268,12 @@
    * Less urgent requests are not counted, as the engine serves them later.
    */
   private double predictWait(
-      PromptShape prompt, Service.Engines service, Replica engine, int priority, long nowMillis) {
+      PromptShape prompt,
+      Service.Engines service,
+      Replica engine,
+      int priority,
+      double duration,
+      long nowMillis) {
     PeerLoads.Total known = peers.at(engine.entry().id(), priority);
     int unknown = unknownRequests(engine, known, nowMillis);
     int unknownWaiting = Math.min(unknown, engine.reportedLoad().waiting());
@@ -268,8 +282,8 @@
             + known.pendingTokens()
             + unknownWaiting * sizes.prefillTokens();
     int requests = engine.ownRequests() + known.requests() + unknown;
-    double millis =
-        rate.millis(pendingTokens) + engine.transferMillis() + requests * DELAY_PER_REQUEST_MILLIS;
+    double work = rate.millis(pendingTokens) + requests * DELAY_PER_REQUEST_MILLIS;
+    double millis = duration * work + engine.transferMillis();
     double held =
         engine.reservedTokens()
             + known.memoryTokens()
--- a/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
@@ -6,7 +6,8 @@
 import org.bulrushpier.replica.Replica;
 
 /**
- * Selects the replica of a plain service with the fewest requests in relation to its slots.
+ * Selects the replica of a plain service with the fewest requests in relation to its slots and to
+ * how long work takes there at the moment.
  *
  * <p>Designed for short requests to few replicas with few slots, where a replica that has stopped
  * answering must not attract further requests before its circuit breaker has counted enough
@@ -81,7 +82,8 @@
       if (!replica.entry().domain().equals(domain)) {
         load += CROSSING_COST_SLOTS;
       }
-      double cost = load / Math.max(1, replica.entry().slots());
+      double duration = replica.workDurationFactor(nowMillis);
+      double cost = (load * duration + duration - 1) / Math.max(1, replica.entry().slots());
       if (cost < bestCost) {
         best = replica;
         bestCost = cost;
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -34,6 +34,7 @@
   private ReportedLoad reportedLoad = new ReportedLoad(0, 0, 0);
   private long reportedMillis = Long.MIN_VALUE / 2;
   private int ownAtReport;
+  private final WorkDuration workDuration = new WorkDuration();
   private long pausedUntilMillis = Long.MIN_VALUE;
   private long deferredUntilMillis = Long.MIN_VALUE;
   private long unreachableUntilMillis = Long.MIN_VALUE;
@@ -342,9 +343,24 @@
    * @param nowMillis the current monotonic time, in milliseconds
    */
   public void recordLoad(ReportedLoad load, long nowMillis) {
-    reportedLoad = load;
-    reportedMillis = nowMillis;
-    ownAtReport = inFlight.size();
+    if (load.hasDuration()) {
+      workDuration.record(load.durationPercent(), nowMillis);
+    }
+    if (load.hasRequests()) {
+      reportedLoad = load;
+      reportedMillis = nowMillis;
+      ownAtReport = inFlight.size();
+    }
+  }
+
+  /**
+   * Returns how long work is expected to take at the replica, compared to the usual time.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return a factor, 1 if the replica has not said anything else of late
+   */
+  public double workDurationFactor(long nowMillis) {
+    return workDuration.factor(nowMillis);
   }
 
   /** Returns the load that the replica last reported, or zero load if it never reported any. */
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -8,6 +8,7 @@
 import org.bulrushpier.Moment;
 import org.bulrushpier.call.PromptPart;
 import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.call.UpstreamResponse.ReportedLoad;
 import org.bulrushpier.fleet.FleetMessage;
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.fleet.UpstreamLoad;
@@ -88,6 +89,34 @@
     assertThat(chosen(prompt, ANY_VERSION)).isEqualTo("e4");
   }
 
+  @Test
+  void predictionScalesWithTheDurationOfWorkAtTheEngine() {
+    Replica engine = engines.get(0);
+    engines.subList(1, engines.size()).clear();
+    long usual = expectedMillis();
+    engine.recordLoad(new ReportedLoad(0, 0, 48, 250), NOW);
+
+    assertThat(expectedMillis()).isBetween(2 * usual, 3 * usual);
+  }
+
+  private long expectedMillis() {
+    Placement placed = choose(prompt("s", 2_000), ANY_VERSION, Set.of(), 5_000);
+    return ((Placement.Send) placed).expectedMillis();
+  }
+
+  @Test
+  void engineWhereWorkTakesLongerIsAvoided() {
+    PromptShape prompt = prompt("s", 700);
+    String usual = chosen(prompt, ANY_VERSION);
+    for (Replica engine : engines) {
+      if (engine.entry().id().equals(usual)) {
+        engine.recordLoad(new ReportedLoad(1, 0, 48, 250), NOW);
+      }
+    }
+
+    assertThat(chosen(prompt, ANY_VERSION)).isNotEqualTo(usual);
+  }
+
   @Test
   void requestIsNotRefusedBecauseTheOnlyEngineIsSilent() {
     engines.subList(1, engines.size()).clear();
--- a/library/src/test/java/org/bulrushpier/placing/PlainPlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlainPlacementTest.java
@@ -34,6 +34,15 @@
     assertThat(chosen()).isEqualTo("far");
   }
 
+  @Test
+  void replicaWhereWorkTakesLongerIsAvoidedForAsLongAsThatIsBelieved() {
+    near.recordLoad(new ReportedLoad(0, 0, 6, 250), NOW - 3_000);
+    assertThat(chosen()).isEqualTo("near");
+
+    near.recordLoad(new ReportedLoad(0, 0, 6, 250), NOW);
+    assertThat(chosen()).isEqualTo("far");
+  }
+
   @Test
   void replicaWithOverdueCallIsAvoidedBeforeItsBreakerOpens() {
     near.begin("late", new Replica.InFlightRequest(0, 0, 0, 0, NOW - 400, NOW - 100));
