Limit requests to cold replicas over all instances

Change: for each cold incarnation the seats of a sliding second are dealt out among the remembered instances by rendezvous hashing (ColdLimit, ColdReplicas, Membership.place), without messages; the aim is the rate that the service is configured with, and the overage and slack are the margin for instances that disagree.

--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
@@ -0,0 +1,163 @@
+package org.bulrushpier.daemon.serve;
+
+import java.util.List;
+import java.util.Optional;
+import org.bulrushpier.fleet.Place;
+import org.bulrushpier.limit.ColdLimit;
+import org.bulrushpier.placing.Placement;
+import org.bulrushpier.replica.ColdReplicas;
+import org.bulrushpier.replica.ColdSpell;
+import org.bulrushpier.replica.Replica;
+import org.bulrushpier.settings.GatewaySettings;
+import org.bulrushpier.site.Service;
+
+/**
+ * Keeps requests from cold replicas beyond what they bear, and logs which ones are cold.
+ *
+ * <p>Guarded by the loop's lock.
+ */
+final class ColdGuard {
+
+  private final GatewayContext context;
+  private final ColdReplicas replicas =
+      ColdReplicas.of((key, nowMillis) -> this.places.place(key, nowMillis));
+  private ColdReplicas.PlaceSource places = (key, nowMillis) -> Optional.of(Place.ALONE);
+
+  ColdGuard(GatewayContext context) {
+    this.context = context;
+  }
+
+  /** Sets the source of this instance's places, which is alone without one. */
+  void places(ColdReplicas.PlaceSource source) {
+    places = source;
+  }
+
+  private Service.ColdStart coldStart(String service) {
+    return context
+        .configuration()
+        .configuration()
+        .flatMap(configuration -> configuration.service(service))
+        .map(Service::coldStart)
+        .orElse(Service.ColdStart.NONE);
+  }
+
+  private ColdLimit limit(String service) {
+    GatewaySettings settings = context.settings();
+    return new ColdLimit(
+        coldStart(service).perSecond(), settings.coldOverage(), settings.coldSlack());
+  }
+
+  /** Records what a registry entry says. */
+  void entryRead(Replica replica, boolean isKnown, long revision, long nowMillis) {
+    told(replica, replica.entry().coldMillis(), isKnown, "revision " + revision, nowMillis);
+  }
+
+  private void told(
+      Replica replica, long leftMillis, boolean isKnown, String source, long nowMillis) {
+    if (replicas.told(replica, leftMillis, isKnown, nowMillis)) {
+      logCold(replica, source, nowMillis);
+    }
+  }
+
+  /** Records what an answer says of its replica, and that there was one. */
+  void answered(Replica replica, long leftMillis, long nowMillis) {
+    replicas.answered(replica, coldStart(replica.entry().service()).millis(), nowMillis);
+    told(replica, leftMillis, true, "answer", nowMillis);
+  }
+
+  /** Records that a replica broke off or was silent. */
+  void failed(Replica replica, long nowMillis) {
+    if (limit(replica.entry().service()).isLimiting()
+        && !context.replicas().isCurrent(nowMillis)
+        && replicas.mayHaveRestarted(replica, nowMillis)) {
+      logCold(replica, "failed while the registry cannot be read", nowMillis);
+    }
+  }
+
+  private void logCold(Replica replica, String source, long nowMillis) {
+    ColdLimit limit = limit(replica.entry().service());
+    context
+        .log()
+        .event(
+            "replica-cold",
+            "id",
+            replica.entry().incarnation(),
+            "source",
+            source,
+            "leftMs",
+            replica.coldSpell().leftMillis(nowMillis),
+            "share",
+            replicas.share(limit, replica, nowMillis),
+            "aim",
+            limit.aim(),
+            "bound",
+            limit.bound());
+  }
+
+  /** Records that the registry has been read. */
+  void registryRead(long nowMillis) {
+    replicas.registryRead(context.replicas().isCurrent(nowMillis));
+  }
+
+  /** Returns the replicas of a service that a request may be sent to now. */
+  List<Replica> admitted(String service, List<Replica> usable, long nowMillis) {
+    List<Replica> admitted = replicas.admitted(limit(service), usable, nowMillis);
+    if (admitted.size() < usable.size()) {
+      context.metrics().withheldFromCold();
+    }
+    return admitted;
+  }
+
+  /** Lets a request wait that is refused only because cold replicas were left out. */
+  static Placement waitForSeat(Placement placement, boolean isAnyLeft) {
+    return placement instanceof Placement.Refuse && !isAnyLeft
+        ? new Placement.Wait("the replicas that could take it are cold")
+        : placement;
+  }
+
+  /** Records a request that is about to be sent to a replica. */
+  ColdSpell.Send begin(Replica replica, long nowMillis) {
+    if (replica.coldSpell().isCold(nowMillis)) {
+      context.metrics().placedAtCold();
+    }
+    return replicas.begin(limit(replica.entry().service()), replica, nowMillis);
+  }
+
+  /** Returns whether a request that was placed must not be sent, as its replica is cold by now. */
+  boolean isExceeded(Replica replica, long nowMillis) {
+    return replicas.isExceeded(limit(replica.entry().service()), replica, nowMillis);
+  }
+
+  /** Follows the time; called at each tick of the gateway. */
+  void tick(long nowMillis) {
+    for (Replica replica : replicas.tick(nowMillis)) {
+      context
+          .log()
+          .event(
+              "replica-warm",
+              "id",
+              replica.entry().incarnation(),
+              "leaving",
+              replica.isLeaving(),
+              "sinceMs",
+              replica.coldSpell().warmMillis(nowMillis));
+    }
+  }
+
+  /** Returns the number of replicas whose load is limited. */
+  int limitedReplicas() {
+    return replicas.limited().size();
+  }
+
+  /** Returns the requests that this instance may send to limited replicas in a window. */
+  long seats(long nowMillis) {
+    return replicas.limited().stream()
+        .mapToLong(r -> replicas.share(limit(r.entry().service()), r, nowMillis))
+        .sum();
+  }
+
+  /** Returns the requests that this instance has sent to limited replicas in the last window. */
+  long usedSeats(long nowMillis) {
+    return replicas.limited().stream().mapToLong(r -> r.coldSpell().sends(nowMillis)).sum();
+  }
+}
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -25,6 +25,7 @@
 import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.ResponseTimeout;
 import org.bulrushpier.poison.PartAdmission.Barred;
+import org.bulrushpier.replica.ColdSpell;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.site.Configuration;
 import org.bulrushpier.site.ConfiguredRoute;
@@ -595,6 +596,8 @@
     private boolean isDisconnected;
     private boolean isComplete;
     private boolean isEnded;
+    private ColdSpell.Send coldSend = new ColdSpell.Send();
+    private boolean isWithheld;
 
     Attempt(Replica replica, Placement.Send placement) {
       this.replica = replica;
@@ -617,6 +620,7 @@
               now,
               overdue);
       replica.begin(request.id(), inFlight);
+      coldSend = context.cold().begin(replica, now);
       replica.breaker().begin(now);
       List<String> cacheTargets =
           prompt.isPresent()
@@ -760,6 +764,7 @@
         if (outbound.isSent() && !inFlight.isStarted() && inFlight.isOverdue(now)) {
           replica.breaker().failed(now);
           replica.markUnreachable(now);
+          context.cold().failed(replica, now);
           context
               .log()
               .event(
@@ -808,6 +813,7 @@
     private void avoidReplica(long nowMillis) {
       if (nowMillis - replica.lastActivityMillis() > STREAM_IDLE_TIMEOUT_MILLIS) {
         replica.markUnreachable(nowMillis);
+        context.cold().failed(replica, nowMillis);
       }
     }
 
@@ -863,6 +869,7 @@
         body.release();
       }
       replica.end(request.id());
+      coldSend.end();
       race.end(this);
     }
 
@@ -891,7 +898,9 @@
 
     @Override
     public boolean isObsolete() {
-      return remainingMillis() <= 0
+      isWithheld |= context.cold().isExceeded(replica, MonotonicClock.millis());
+      return isWithheld
+          || remainingMillis() <= 0
           || !isVersionAllowed()
           || selection.isWithdrawn(replica, MonotonicClock.millis())
           || parts.check(attempts).isPresent();
@@ -900,6 +909,7 @@
     @Override
     public void sending() {
       attempts++;
+      coldSend.sent(MonotonicClock.millis());
     }
 
     @Override
@@ -910,6 +920,7 @@
       inFlight.markStarted();
       long now = MonotonicClock.millis();
       replica.recordActivity(now);
+      context.cold().answered(replica, response.coldMillis(), now);
       response.load().ifPresent(load -> replica.recordLoad(load, now));
       heedWishes(now);
       int version = CallFormat.weightVersion(read.fields());
@@ -1119,6 +1130,7 @@
       excludeReplica();
       String responder = CallFormat.replicaId(head.fields());
       if (response.isMisdirected()) {
+        coldSend.withdraw();
         if (!responder.isEmpty() && !responder.equals(replica.entry().id())) {
           replica.markLeaving("address taken over by " + responder);
         } else {
@@ -1191,6 +1203,7 @@
       }
       attemptEnd = "upstream failed";
       replica.breaker().failed(MonotonicClock.millis());
+      context.cold().failed(replica, MonotonicClock.millis());
       context
           .log()
           .event(
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -97,6 +97,7 @@
     FleetExchange exchange =
         new FleetExchange(context, Membership.of(address, context.settings().seeds()), channel);
     context.poison().turn(exchange::turn);
+    context.cold().places(exchange.membership::place);
     Thread receiver = new Thread(exchange::receiveAll, "fleet");
     receiver.setDaemon(true);
     receiver.start();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -177,6 +177,24 @@
             "bulrushpier.weights.outdated.engines",
             "Engines whose weights are older than the requested ones",
             rollouts::outdatedEngines);
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.replicas.cold",
+            "Replicas that are cold or were a moment ago",
+            () -> context.cold().limitedReplicas());
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.cold.seats",
+            "Requests that this instance may send to cold replicas in a second",
+            () -> context.cold().seats(MonotonicClock.millis()));
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.cold.seats.used",
+            "Requests that this instance has sent to cold replicas in the last second",
+            () -> context.cold().usedSeats(MonotonicClock.millis()));
     long wait = context.keyFreshness().watchMillis();
     watch(StoreFormat.CRASH_REPORTS, CRASH_TIMING, crashReports);
     watch(
@@ -251,6 +269,7 @@
     if (stalledMillis > 0) {
       context.log().event("stalled", "forMs", stalledMillis, "running", exchanges.size());
     }
+    loop.run(() -> context.cold().tick(now));
     // A failure of one step must not keep the others from being taken.
     for (Exchange exchange : List.copyOf(exchanges)) {
       loop.run(() -> exchange.tickOrGiveUp(now));
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -61,6 +61,7 @@
   private final Map<String, CacheStoreState> cacheStores = new LinkedHashMap<>();
   private final Set<Replica> unverified = new HashSet<>();
   private final EventLog log = new EventLog();
+  private final ColdGuard cold = new ColdGuard(this);
   private final PoisonGuard poison = new PoisonGuard(log, metrics);
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, PlacementQueue<Exchange>> placementQueues = new HashMap<>();
@@ -166,6 +167,11 @@
     return poison;
   }
 
+  /** Returns the guard of cold replicas. */
+  ColdGuard cold() {
+    return cold;
+  }
+
   EventLog log() {
     return log;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -70,6 +70,12 @@
           "bulrushpier.requests.kept.evacuated",
           "Requests for which replicas of evacuated failure domains were passed over");
 
+  private final Counter withheldFromCold =
+      counter("bulrushpier.cold.withheld", "Selections of a replica that left out cold ones");
+
+  private final Counter placedAtCold =
+      counter("bulrushpier.cold.placed", "Requests placed at cold replicas");
+
   private final Timer outdatedWeights =
       timer(
           "bulrushpier.weights.outdated",
@@ -143,6 +149,14 @@
     outdatedWeights.record(Duration.ofMillis(outdatedMillis));
   }
 
+  void withheldFromCold() {
+    withheldFromCold.increment();
+  }
+
+  void placedAtCold() {
+    placedAtCold.increment();
+  }
+
   void replicaCrashed() {
     replicaCrashes.increment();
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -91,9 +91,15 @@
     }
     Optional<Service> target =
         context.configuration().configuration().flatMap(c -> c.service(service));
-    return target.isPresent() && target.get() instanceof Service.Engines engines
-        ? placeOnEngine(engines, usable, excluded, remaining, now)
-        : context.plainPlacement().choose(usable, excluded, now);
+    List<Replica> admitted = context.cold().admitted(service, usable, now);
+    Placement placement =
+        target.isPresent() && target.get() instanceof Service.Engines engines
+            ? placeOnEngine(engines, admitted, excluded, remaining, now)
+            : context.plainPlacement().choose(admitted, excluded, now);
+    return admitted.size() == usable.size()
+        ? placement
+        : ColdGuard.waitForSeat(
+            placement, admitted.stream().anyMatch(r -> !excluded.contains(r.entry().id())));
   }
 
   private Candidates candidates(long now) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
@@ -10,6 +10,7 @@
 import org.bulrushpier.adapter.StoreFormat.ReadableObject;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.adapter.StoreFormat.UnreadableObject;
+import org.bulrushpier.replica.Replica;
 import org.bulrushpier.replica.ReplicaEntry;
 import org.bulrushpier.replica.ReplicaTable.Change;
 
@@ -47,6 +48,7 @@
         .retain(ids, now)
         .forEach((id, change) -> context.logChange("replica-" + change.name(), id, "not listed"));
     context.replicas().markListed();
+    context.cold().registryRead(now);
   }
 
   @Override
@@ -62,6 +64,7 @@
       }
     }
     logUnusable();
+    context.cold().registryRead(now);
   }
 
   private void logUnusable() {
@@ -86,6 +89,11 @@
 
   private void put(ReadableObject value, ReplicaEntry entry, long nowMillis) {
     Change change = context.replicas().put(entry);
+    if (change != Change.FOREIGN && change != Change.STALE) {
+      boolean isKnown = change != Change.ADDED && change != Change.RESTARTED;
+      Replica replica = context.replicas().find(entry.id());
+      context.cold().entryRead(replica, isKnown, value.revision(), nowMillis);
+    }
     if (change == Change.FOREIGN) {
       unusable(value, "born: missing", nowMillis);
     } else if (change != Change.NONE) {
--- a/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
+++ b/library/src/main/java/org/bulrushpier/call/UpstreamResponse.java
@@ -18,6 +18,7 @@
  * @param isLeaving whether the upstream says that it is about to leave
  * @param deferralMillis how long the upstream wants no further requests from this instance, in
  *     milliseconds, or 0
+ * @param coldMillis how long the upstream remains cold, in milliseconds, or 0
  */
 public record UpstreamResponse(
     int status,
@@ -28,7 +29,8 @@
     boolean isStream,
     Optional<ReportedLoad> load,
     boolean isLeaving,
-    long deferralMillis) {
+    long deferralMillis,
+    long coldMillis) {
 
   private static final int MISDIRECTED = 421;
 
--- a/library/src/main/java/org/bulrushpier/fleet/Membership.java
+++ b/library/src/main/java/org/bulrushpier/fleet/Membership.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bulrushpier.Address;
+import org.bulrushpier.Hash;
 import org.bulrushpier.routing.Rendezvous;
 
 /**
@@ -52,11 +54,24 @@
     }
   }
 
+  /** How long after the first contact the lists of other instances are awaited, in milliseconds. */
+  static final long SETTLING_MILLIS = 2_000;
+
+  /** How long a young instance must not have learned of a further one, in milliseconds. */
+  static final long QUIET_MILLIS = 1_500;
+
+  /**
+   * How long an instance may lack members that have not been heard from since it started, in ms.
+   */
+  static final long YOUNG_MILLIS = 60_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Address self;
   private final Set<Address> seeds = new LinkedHashSet<>();
   private final Map<Address, Peer> peers = new HashMap<>();
+  private long firstHeardMillis = NEVER;
+  private long lastAddedMillis = NEVER;
 
   private Membership(Address self) {
     this.self = self;
@@ -94,7 +109,12 @@
    */
   public void heard(Address address, long nowMillis) {
     if (!address.equals(self) && (peers.containsKey(address) || peers.size() < MAX_KNOWN)) {
-      peers.put(address, new Peer(nowMillis, nowMillis));
+      if (firstHeardMillis == NEVER) {
+        firstHeardMillis = nowMillis;
+      }
+      if (peers.put(address, new Peer(nowMillis, nowMillis)) == null) {
+        lastAddedMillis = nowMillis;
+      }
     }
   }
 
@@ -106,7 +126,9 @@
    */
   public void learned(Address address, long nowMillis) {
     if (!address.equals(self) && peers.size() < MAX_KNOWN) {
-      peers.putIfAbsent(address, new Peer(NEVER, nowMillis));
+      if (peers.putIfAbsent(address, new Peer(NEVER, nowMillis)) == null) {
+        lastAddedMillis = nowMillis;
+      }
     }
   }
 
@@ -159,6 +181,42 @@
     return Rendezvous.order(key, live).indexOf(self.toString());
   }
 
+  /**
+   * Returns the place of this instance among the remembered ones and among the live ones, in an
+   * order that all of them agree on and that differs by key. Seeds count as remembered.
+   *
+   * @param key the key
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the place, or empty until the lists of other instances have arrived after the start
+   */
+  public Optional<Place> place(String key, long nowMillis) {
+    if (peers.isEmpty() && seeds.isEmpty()) {
+      return Optional.of(Place.ALONE);
+    }
+    boolean isYoung = nowMillis - firstHeardMillis < YOUNG_MILLIS;
+    if (firstHeardMillis == NEVER
+        || nowMillis - firstHeardMillis < SETTLING_MILLIS
+        || isYoung && nowMillis - lastAddedMillis < QUIET_MILLIS) {
+      return Optional.empty();
+    }
+    Set<Address> remembered = new HashSet<>(peers.keySet());
+    remembered.addAll(seeds);
+    long own = Hash.hash64(key, self.toString());
+    int rank = 0;
+    int live = 1;
+    int liveRank = 0;
+    for (Address address : remembered) {
+      boolean isBefore = Hash.hash64(key, address.toString()) > own;
+      rank += isBefore ? 1 : 0;
+      Peer peer = peers.get(address);
+      if (peer != null && peer.isLive(nowMillis)) {
+        live++;
+        liveRank += isBefore ? 1 : 0;
+      }
+    }
+    return Optional.of(new Place(rank, remembered.size() + 1, liveRank, live, isYoung));
+  }
+
   /**
    * Returns the instances that get load reports.
    *
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -42,6 +42,7 @@
   private final FailureShare failures = new FailureShare();
   private final CircuitBreaker breaker = new CircuitBreaker();
   private final Map<String, Integer> versions = new HashMap<>();
+  private final ColdSpell coldSpell = new ColdSpell();
   private final CachedParts parts = new CachedParts();
   private final Map<String, InFlightRequest> inFlight = new LinkedHashMap<>();
 
@@ -245,6 +246,11 @@
     return Optional.empty();
   }
 
+  /** Returns until when the replica is cold, and the requests sent to it of late. */
+  public ColdSpell coldSpell() {
+    return coldSpell;
+  }
+
   /** Returns the circuit breaker, which is driven by the results of real requests. */
   public CircuitBreaker breaker() {
     return breaker;
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaEntry.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaEntry.java
@@ -17,6 +17,7 @@
  * @param startMillis the start time of this incarnation, in Unix milliseconds, or 0 if the entry
  *     lacks it
  * @param weightVersions the weight version that it serves for each model
+ * @param coldMillis how long it remains cold, in milliseconds, or 0
  */
 public record ReplicaEntry(
     String id,
@@ -26,7 +27,8 @@
     int slots,
     boolean isDraining,
     long startMillis,
-    Map<String, Integer> weightVersions) {
+    Map<String, Integer> weightVersions,
+    long coldMillis) {
 
   /** Copies the map. */
   public ReplicaEntry {
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
@@ -211,6 +211,17 @@
     return isStoreUnavailable || nowMillis - storeAvailableMillis < RENEWAL_GRACE_MILLIS;
   }
 
+  /**
+   * Returns whether the entries show which replicas live: the registry's store has answered, and
+   * live replicas have had the time to renew their entries since.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return false during an outage of the store and shortly after it
+   */
+  public boolean isCurrent(long nowMillis) {
+    return !isInGracePeriod(nowMillis);
+  }
+
   /**
    * Returns the replicas of a service, including those that are leaving and except foreign ones.
    *
--- a/library/src/main/java/org/bulrushpier/site/Service.java
+++ b/library/src/main/java/org/bulrushpier/site/Service.java
@@ -13,13 +13,31 @@
   /** Returns the name of the service. */
   String name();
 
+  /** Returns what its replicas bear after their start. */
+  default ColdStart coldStart() {
+    return ColdStart.NONE;
+  }
+
+  /**
+   * What a replica bears while it is cold.
+   *
+   * @param perSecond the requests that it bears per second, or 0 if it is never cold
+   * @param millis how long it is cold after its start, in milliseconds
+   */
+  record ColdStart(double perSecond, long millis) {
+
+    /** A service without cold replicas. */
+    public static final ColdStart NONE = new ColdStart(0, 0);
+  }
+
   /**
    * A service without a model.
    *
    * @param name the name
    * @param maxConnections the number of connections that each upstream accepts from all callers
+   * @param coldStart what its replicas bear after their start
    */
-  record Plain(String name, int maxConnections) implements Service {}
+  record Plain(String name, int maxConnections, ColdStart coldStart) implements Service {}
 
   /**
    * A service of model engines.
@@ -32,6 +50,7 @@
    * @param linkMbps the rate of an engine's link for cache transfers, in Mbit/s
    * @param isManaged whether cache parts may be fetched and saved individually
    * @param models the names of the models that its engines serve
+   * @param coldStart what its engines bear after their start
    */
   record Engines(
       String name,
@@ -41,7 +60,8 @@
       long bytesPerToken,
       double linkMbps,
       boolean isManaged,
-      List<String> models)
+      List<String> models,
+      ColdStart coldStart)
       implements Service {
     /** Copies the list. */
     public Engines {
--- a/library/src/test/java/org/bulrushpier/fleet/MembershipTest.java
+++ b/library/src/test/java/org/bulrushpier/fleet/MembershipTest.java
@@ -142,4 +142,51 @@
       assertThat(turns).containsExactlyInAnyOrder(0, 1, 2, 3, 4);
     }
   }
+
+  @Test
+  void placesOfSettledInstancesDifferAndCountThoseThatAreNotLive() {
+    start(0, 12, List.of(address(0), address(1)));
+    play(20, (from, to) -> true);
+    play(10, (from, to) -> !from.equals(address(5)) && !to.equals(address(5)));
+
+    List<Integer> ranks = new ArrayList<>();
+    List<Integer> liveRanks = new ArrayList<>();
+    instances.forEach(
+        (address, membership) -> {
+          Place place = membership.place("r@1", now).orElseThrow();
+          assertThat(place.members()).isEqualTo(12);
+          assertThat(place.liveMembers()).isEqualTo(address.equals(address(5)) ? 1 : 11);
+          ranks.add(place.rank());
+          if (!address.equals(address(5))) {
+            liveRanks.add(place.liveRank());
+          }
+        });
+    assertThat(ranks).containsExactlyInAnyOrder(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11);
+    assertThat(liveRanks).containsExactlyInAnyOrder(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10);
+  }
+
+  @Test
+  void instanceHasNoPlaceUntilItHasHeardOthersForSomeTime() {
+    Membership alone = Membership.of(address(0), List.of());
+    assertThat(alone.place("r@1", 0)).contains(Place.ALONE);
+
+    Membership started = Membership.of(address(0), List.of(address(1)));
+    assertThat(started.place("r@1", 60_000)).isEmpty();
+    started.heard(address(1), 60_000);
+    assertThat(started.place("r@1", 60_000 + Membership.SETTLING_MILLIS - 1)).isEmpty();
+    assertThat(started.place("r@1", 60_000 + Membership.SETTLING_MILLIS)).isPresent();
+  }
+
+  /** With the list of the first instance that it heard, it would take itself for one of few. */
+  @Test
+  void youngInstanceThatStillLearnsOfOthersHasNoPlace() {
+    Membership young = Membership.of(address(0), List.of(address(1)));
+    young.heard(address(1), 0);
+    young.learned(address(2), 1_900);
+    assertThat(young.place("r@1", Membership.SETTLING_MILLIS)).isEmpty();
+    assertThat(young.place("r@1", 1_900 + Membership.QUIET_MILLIS)).isPresent();
+
+    young.learned(address(3), Membership.YOUNG_MILLIS);
+    assertThat(young.place("r@1", Membership.YOUNG_MILLIS)).isPresent();
+  }
 }
--- a/library/src/test/java/org/bulrushpier/placing/CandidatesTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/CandidatesTest.java
@@ -32,7 +32,7 @@
     String id = "e" + number;
     table.put(
         new ReplicaEntry(
-            id, "records", Address.parse("10.0.0.1:8080"), "norte", 6, false, 7, Map.of()));
+            id, "records", Address.parse("10.0.0.1:8080"), "norte", 6, false, 7, Map.of(), 0));
     return table.find(id);
   }
 
--- a/library/src/test/java/org/bulrushpier/placing/Engines.java
+++ b/library/src/test/java/org/bulrushpier/placing/Engines.java
@@ -12,7 +12,8 @@
 final class Engines {
 
   static final Service.Engines SERVICE =
-      new Service.Engines("engines", 300, 48, 53_000, 131_072, 130_000, true, List.of("m"));
+      new Service.Engines(
+          "engines", 300, 48, 53_000, 131_072, 130_000, true, List.of("m"), Service.ColdStart.NONE);
 
   private static int lastPort = 9_000;
 
@@ -29,7 +30,8 @@
             48,
             false,
             1,
-            Map.of("m", 1)));
+            Map.of("m", 1),
+            0));
     return table.find(id);
   }
 
--- a/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
@@ -43,7 +43,15 @@
 
   private final Service.Engines service =
       new Service.Engines(
-          "engines", 300, SLOTS, MEMORY_TOKENS, 35_000, 740_000, true, List.of("m"));
+          "engines",
+          300,
+          SLOTS,
+          MEMORY_TOKENS,
+          35_000,
+          740_000,
+          true,
+          List.of("m"),
+          Service.ColdStart.NONE);
   private final Random random = new Random(5);
   private final List<EngineSimulation> engines = new ArrayList<>();
   private final List<Instance> instances = new ArrayList<>();
--- a/library/src/test/java/org/bulrushpier/poison/CrashDetectorTest.java
+++ b/library/src/test/java/org/bulrushpier/poison/CrashDetectorTest.java
@@ -23,7 +23,7 @@
     ReplicaTable table = new ReplicaTable();
     table.put(
         new ReplicaEntry(
-            "e1", "engines", new Address("127.0.0.1", 1), "norte", 6, false, 7, Map.of()));
+            "e1", "engines", new Address("127.0.0.1", 1), "norte", 6, false, 7, Map.of(), 0));
     return table.find("e1");
   }
 
--- a/library/src/test/java/org/bulrushpier/replica/ReplicaLoadTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ReplicaLoadTest.java
@@ -18,7 +18,7 @@
   private final Replica replica =
       new Replica(
           new ReplicaEntry(
-              "r", "engines", new Address("10.0.0.1", 9_000), "norte", 24, false, 1, Map.of()));
+              "r", "engines", new Address("10.0.0.1", 9_000), "norte", 24, false, 1, Map.of(), 0));
 
   @Test
   void reportWithoutDurationLeavesTheUsualOne() {
--- a/library/src/test/java/org/bulrushpier/replica/ReplicaTableTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ReplicaTableTest.java
@@ -24,7 +24,8 @@
         6,
         isDraining,
         startMillis,
-        Map.of("m", 1));
+        Map.of("m", 1),
+        0);
   }
 
   @Test
--- a/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/RolloutPlanTest.java
@@ -24,7 +24,7 @@
       String id = "e" + i;
       table.put(
           new ReplicaEntry(
-              id, "s", new Address("10.0.0.1", 9_000 + i), "d", 48, false, 1, Map.of("m", 1)));
+              id, "s", new Address("10.0.0.1", 9_000 + i), "d", 48, false, 1, Map.of("m", 1), 0));
       engines.add(table.find(id));
     }
   }
