Readers of the metadata store: a few instances of each failure domain read it for the others

Load reports tell the sender's failure domain. Domains with no more than N instances, and settings without store-readers, are served as before.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -47,10 +47,11 @@
    *
    * @param status the HTTP status, {@link #NO_RESPONSE} or {@link #TOO_LARGE}
    * @param body the body, or empty
+   * @param fields the header fields of the response, or empty
    * @param sent when the call was made
    * @param detail the failure if there is no complete response, otherwise empty
    */
-  record Outcome(int status, byte[] body, Moment sent, String detail) {
+  record Outcome(int status, byte[] body, HttpFields fields, Moment sent, String detail) {
     boolean isOk() {
       return status >= 200 && status < 300;
     }
@@ -165,6 +166,7 @@
     private EventLoop.Timer timer;
     private OutboundRequest outbound;
     private int status;
+    private HttpFields fields = HttpFields.EMPTY;
     private boolean isDone;
 
     Call(ByteBudget budget, BooleanSupplier isObsolete, Consumer<Outcome> consumer) {
@@ -191,6 +193,7 @@
     @Override
     public void started(ResponseHead head) {
       status = head.status();
+      fields = head.fields();
     }
 
     @Override
@@ -203,7 +206,11 @@
       if (size > MAX_BODY_BYTES) {
         finish(
             new Outcome(
-                TOO_LARGE, new byte[0], sent, "the response exceeds " + MAX_BODY_BYTES + " bytes"));
+                TOO_LARGE,
+                new byte[0],
+                fields,
+                sent,
+                "the response exceeds " + MAX_BODY_BYTES + " bytes"));
       } else {
         failed("no room for a response of " + size + " bytes");
       }
@@ -211,12 +218,12 @@
 
     @Override
     public void completed() {
-      finish(new Outcome(status, body.toByteArray(), sent, ""));
+      finish(new Outcome(status, body.toByteArray(), fields, sent, ""));
     }
 
     @Override
     public void failed(String detail) {
-      finish(new Outcome(NO_RESPONSE, new byte[0], sent, detail));
+      finish(new Outcome(NO_RESPONSE, new byte[0], HttpFields.EMPTY, sent, detail));
     }
 
     private void finish(Outcome outcome) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -129,6 +129,11 @@
     }
   }
 
+  /** Returns the live instances of this instance's failure domain, this one included. */
+  List<Address> liveInDomain(long nowMillis) {
+    return membership.liveInDomain(context.settings().domain(), nowMillis);
+  }
+
   /** Returns whether all instances of which this one knows are heard from. */
   boolean isComplete(long nowMillis) {
     return membership.isComplete(nowMillis);
@@ -225,7 +230,10 @@
     wasIdle = isIdle;
     lastLoadMillis = nowMillis;
     byte[] bytes =
-        Codec.messagePack().write(new FleetMessage.Load(startMillis, ++sequence, upstreams));
+        Codec.messagePack()
+            .write(
+                new FleetMessage.Load(
+                    startMillis, ++sequence, upstreams, context.settings().domain()));
     contacts.forEach(contact -> send(contact, bytes));
   }
 
@@ -280,6 +288,9 @@
     membership.heard(sender, now);
     switch (message) {
       case FleetMessage.Load load -> {
+        if (!load.domain().isEmpty()) {
+          membership.heard(sender, load.domain(), now);
+        }
         if (!peerLoads.record(sender.toString(), load, now)) {
           ignored(sender, "implausible load");
         }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -101,6 +101,7 @@
   private final RolloutCoordinator rollouts;
   private final CacheStorePoller cacheStorePoller;
   private final CrashReportStore crashReports;
+  private final StoreSources sources;
   private FleetExchange fleet;
   private boolean isShuttingDown;
   private boolean isStopping;
@@ -113,6 +114,11 @@
     rollouts = new RolloutCoordinator(context);
     cacheStorePoller = new CacheStorePoller(context);
     crashReports = new CrashReportStore(context);
+    sources =
+        new StoreSources(
+            context,
+            settings.fleetAddress().orElse(settings.callerAddress()),
+            now -> fleet == null ? List.of() : fleet.liveInDomain(now));
   }
 
   /**
@@ -129,6 +135,9 @@
     gateway.loop.listen(settings.metricsAddress(), gateway.new MetricsHandler());
     if (settings.fleetAddress().isPresent()) {
       gateway.fleet = FleetExchange.start(settings.fleetAddress().get(), gateway.context);
+      if (settings.storeReaders() > 0) {
+        gateway.loop.listen(settings.fleetAddress().get(), gateway.sources.relay());
+      }
     }
     gateway.loop.run(gateway::startWatches);
     return gateway;
@@ -243,7 +252,14 @@
   }
 
   private void watch(String kind, StoreWatch.Timing timing, StoreWatch.Listener listener) {
-    new StoreWatch(loop, context.client(), () -> settings.platformAddress(), kind, timing, listener)
+    new StoreWatch(
+            loop,
+            context.client(),
+            () -> settings.platformAddress(),
+            sources,
+            kind,
+            timing,
+            listener)
         .start();
   }
 
@@ -270,6 +286,7 @@
       context.log().event("stalled", "forMs", stalledMillis, "running", exchanges.size());
     }
     loop.run(() -> context.cold().tick(now));
+    loop.run(() -> sources.tick(stalledMillis, now));
     // A failure of one step must not keep the others from being taken.
     for (Exchange exchange : List.copyOf(exchanges)) {
       loop.run(() -> exchange.tickOrGiveUp(now));
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -36,6 +36,11 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<String, Counter> outcomes = new HashMap<>();
   private final Map<String, Counter> interrupted = new HashMap<>();
+  private final Map<String, Counter> storeWatches = new HashMap<>();
+  private final Map<String, Counter> storeSourceChanges = new HashMap<>();
+  private final Counter followersServed =
+      counter(
+          "bulrushpier.store.followers.served", "Watches of other instances that were answered");
   private final Timer answers = timer("bulrushpier.answer", "Time to the end of an answer");
   private final Timer firstEvents =
       timer("bulrushpier.first.event", "Time to the first event of a stream");
@@ -131,6 +136,44 @@
         .increment();
   }
 
+  /**
+   * Counts a watch by where it was sent.
+   *
+   * @param source store or reader
+   */
+  void storeWatched(String source) {
+    storeWatches
+        .computeIfAbsent(
+            source,
+            name ->
+                Counter.builder("bulrushpier.store.watches")
+                    .description("Watches by where they were sent")
+                    .tag("source", name)
+                    .register(registry))
+        .increment();
+  }
+
+  /**
+   * Counts a change of the source of watches.
+   *
+   * @param reason the reason, out of a fixed set
+   */
+  void storeSourceChanged(String reason) {
+    storeSourceChanges
+        .computeIfAbsent(
+            reason,
+            name ->
+                Counter.builder("bulrushpier.store.source.changes")
+                    .description("Changes of the source of watches")
+                    .tag("reason", name)
+                    .register(registry))
+        .increment();
+  }
+
+  void followerServed() {
+    followersServed.increment();
+  }
+
   void answered(long millis) {
     answers.record(Duration.ofMillis(millis));
   }
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreSources.java
@@ -0,0 +1,216 @@
+package org.bulrushpier.daemon.serve;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.bulrushpier.Address;
+import org.bulrushpier.Moment;
+import org.bulrushpier.MonotonicClock;
+import org.bulrushpier.adapter.StoreFormat;
+import org.bulrushpier.daemon.net.ConnectionPool;
+import org.bulrushpier.watch.StoreReaders;
+import org.bulrushpier.watch.StoreReaders.Source;
+import org.bulrushpier.watch.WatchLog;
+
+/**
+ * The sources of this instance's watches: the metadata store, or instances of the same failure
+ * domain that read it for others.
+ *
+ * <p>Invariant: when a reader fails one call, all calls that wait at it fail, so that the shortest
+ * watch bounds the time for which a reader may be silent. Guarded by the loop's lock.
+ */
+final class StoreSources {
+
+  /** How a call to a reader ended. */
+  enum Status {
+    /** The reader returned the result of a watch. */
+    ANSWERED,
+    /** The reader cannot answer this call; it may answer others. */
+    ELSEWHERE,
+    /** The reader has failed and is not used for some time. */
+    FAILED
+  }
+
+  /**
+   * The answer to a call to a reader. Immutable by convention.
+   *
+   * @param status how the call ended
+   * @param body the result of the watch, or empty
+   * @param proven a moment at which the state after the result was certainly the newest
+   */
+  record Answer(Status status, byte[] body, Moment proven) {
+    private static Answer without(Status status) {
+      return new Answer(status, new byte[0], Moment.DISTANT_PAST);
+    }
+  }
+
+  private static final int NOT_READ = 404;
+  private static final int GONE = 410;
+  private static final String STORE = "store";
+
+  /** The live instances of this instance's failure domain, this one included. */
+  interface Members {
+    List<Address> live(long nowMillis);
+  }
+
+  /** A call that waits at a reader. */
+  private final class Pending {
+    private final Address reader;
+    private final Consumer<Answer> consumer;
+    private ControlClient.Handle handle;
+
+    Pending(Address reader, Consumer<Answer> consumer) {
+      this.reader = reader;
+      this.consumer = consumer;
+    }
+
+    private void received(ControlClient.Outcome outcome) {
+      if (!pending.remove(this)) {
+        return;
+      }
+      Moment now = Moment.now();
+      OptionalLong offset = StoreFormat.proofOffsetMillis(outcome.fields());
+      if (outcome.status() == NOT_READ || outcome.status() == GONE) {
+        consumer.accept(Answer.without(Status.ELSEWHERE));
+      } else if (outcome.isOk() && offset.isPresent()) {
+        Moment proven = WatchLog.provenAt(outcome.sent(), offset.getAsLong(), now);
+        consumer.accept(new Answer(Status.ANSWERED, outcome.body(), proven));
+      } else {
+        leave(reader, outcome.status() == ControlClient.NO_RESPONSE ? "no response" : "refused");
+        consumer.accept(Answer.without(Status.FAILED));
+      }
+    }
+
+    private void fail() {
+      if (pending.remove(this)) {
+        handle.cancel();
+        consumer.accept(Answer.without(Status.FAILED));
+      }
+    }
+  }
+
+  private final GatewayContext context;
+  private final StoreReaders readers;
+  private final Members members;
+  private final WatchRelay relay;
+  private final Set<Pending> pending = new LinkedHashSet<>();
+  private String current = STORE;
+  private String reason = "members";
+
+  /**
+   * Creates the sources.
+   *
+   * @param context the state of the gateway
+   * @param self the address at which other instances call this one
+   * @param members the instances of the failure domain
+   */
+  StoreSources(GatewayContext context, Address self, Members members) {
+    this.context = context;
+    this.readers = StoreReaders.of(self);
+    this.members = members;
+    this.relay = new WatchRelay(context, this::isShared);
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.store.calls.held",
+            "Calls of other instances that wait for the next result of a watch",
+            relay::heldCalls);
+  }
+
+  /** Returns what answers the calls of other instances. */
+  WatchRelay relay() {
+    return relay;
+  }
+
+  /** Returns the source of the next watch. */
+  Source next() {
+    Source source = select();
+    String name =
+        switch (source) {
+          case Source.Store store -> STORE;
+          case Source.Reader reader -> reader.address().toString();
+        };
+    if (!name.equals(current)) {
+      context
+          .log()
+          .event(
+              "store-source",
+              "source",
+              name,
+              "before",
+              current,
+              "reason",
+              reason,
+              "ageMs",
+              context.configuration().ageMillis(Moment.now()));
+      context.metrics().storeSourceChanged(reason);
+      current = name;
+      reason = "members";
+    }
+    return source;
+  }
+
+  private Source select() {
+    int count = context.settings().storeReaders();
+    if (count == 0) {
+      return new Source.Store(false);
+    }
+    long now = MonotonicClock.millis();
+    return readers.next(members.live(now), count, now);
+  }
+
+  private boolean isShared() {
+    return select() instanceof Source.Store store && store.isShared();
+  }
+
+  /** Counts a watch that is sent to the store. */
+  void calledStore() {
+    context.metrics().storeWatched(STORE);
+  }
+
+  /**
+   * Calls a reader; the consumer is called exactly once.
+   *
+   * @param reader the address of the reader
+   * @param target path and query
+   * @param timeoutMillis the time after which the reader counts as failed, in milliseconds
+   * @param consumer receives the answer
+   */
+  void call(Address reader, String target, long timeoutMillis, Consumer<Answer> consumer) {
+    context.metrics().storeWatched("reader");
+    Pending call = new Pending(reader, consumer);
+    pending.add(call);
+    call.handle =
+        context
+            .client()
+            .read(reader, target, timeoutMillis, ConnectionPool.ANY_IDLE_TIME, call::received);
+  }
+
+  /**
+   * Uses a reader no more for some time; all calls that wait there fail.
+   *
+   * @param reader the address of the reader
+   * @param why the reason, out of a fixed set
+   */
+  void leave(Address reader, String why) {
+    reason = why;
+    readers.leave(reader, MonotonicClock.millis());
+    for (Pending call : List.copyOf(pending)) {
+      if (call.reader.equals(reader)) {
+        call.fail();
+      }
+    }
+  }
+
+  /** Reads the store after this process did not run for a while, and answers calls that are due. */
+  void tick(long stalledMillis, long nowMillis) {
+    if (readers.woken(stalledMillis, nowMillis)) {
+      reason = "woken";
+      new ArrayList<>(pending).forEach(Pending::fail);
+    }
+    relay.tick();
+  }
+}
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -13,6 +13,7 @@
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
+import org.bulrushpier.watch.StoreReaders.Source;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,6 +24,10 @@
  * <p>A failed connection is no outage of the store, during which entries lapse: the listener is
  * told of an outage only if a second, new connection yields no response either.
  *
+ * <p>Watches may go to another instance that reads the store ({@link StoreSources}). Its response
+ * proves the state at an earlier moment than that of the call, which takes the place of the latter.
+ * If such a call fails, the store is called at once and without a wait, which is no outage.
+ *
  * <p>A watch that is still waiting does not show that the known state is current, so watches are
  * short. Each kind has its own timing, which weighs the age that the known state may reach against
  * the number of calls that all instances make together. The listener receives the result of each
@@ -48,10 +53,11 @@
      * Receives changes in their order.
      *
      * @param events the changes; empty if the watch ended without a change
-     * @param sent when the call was sent that returned them
+     * @param proven a moment at which the state after the changes was certainly the newest: that at
+     *     which the call was sent, unless another instance answered it
      * @param changedAfter a moment after which all of them were made
      */
-    void changed(List<Event> events, Moment sent, Moment changedAfter);
+    void changed(List<Event> events, Moment proven, Moment changedAfter);
 
     /** The store gave no response on any connection, or refused to serve this instance. */
     void unavailable(String detail);
@@ -75,6 +81,11 @@
     Timing(long waitMillis, long pauseMillis) {
       this(waitMillis, pauseMillis, false);
     }
+
+    /** Returns the time from the result of a watch to the end of the next one, in milliseconds. */
+    long periodMillis() {
+      return waitMillis + pauseMillis;
+    }
   }
 
   /**
@@ -92,6 +103,15 @@
   /** Timeout of the first call after a failure, in milliseconds. */
   private static final long PROBE_TIMEOUT_MILLIS = 600;
 
+  /**
+   * The time for which a reader may hold a call beyond the period of its own watch, in
+   * milliseconds, so that the call ends with the reader's next result.
+   */
+  private static final long HOLD_MARGIN_MILLIS = 150;
+
+  /** The time after the end of its hold from which on a reader's response is late, in ms. */
+  private static final long READER_LATE_MILLIS = 200;
+
   private static final long MIN_BACKOFF_MILLIS = 60;
   private static final long MAX_BACKOFF_MILLIS = 500;
   private static final int GONE = 410;
@@ -101,6 +121,7 @@
   private final EventLoop loop;
   private final ControlClient client;
   private final Supplier<Address> address;
+  private final StoreSources sources;
   private final String kind;
   private final Timing timing;
   private final Listener listener;
@@ -121,17 +142,20 @@
   private long backoffMillis = MIN_BACKOFF_MILLIS;
   private boolean isProbing = true;
   private boolean isUnavailable;
+  private boolean isRelayed;
 
   StoreWatch(
       EventLoop loop,
       ControlClient client,
       Supplier<Address> address,
+      StoreSources sources,
       String kind,
       Timing timing,
       Listener listener) {
     this.loop = loop;
     this.client = client;
     this.address = address;
+    this.sources = sources;
     this.kind = kind;
     this.timing = timing;
     this.listener = listener;
@@ -207,6 +231,9 @@
     succeeded();
     listener.listed(List.copyOf(values), listSentAt, currentAt);
     currentAt = listSentAt;
+    sources.relay().listed(kind, revision, currentAt, timing.periodMillis());
+    // Later pages may hold newer objects than a reader knows.
+    isProbing = !after.isEmpty();
     return this::next;
   }
 
@@ -220,14 +247,79 @@
   }
 
   private void watch() {
+    // A watch that follows a failure asks a reader only if the store does not answer.
+    if (!isProbing || isUnavailable) {
+      switch (sources.next()) {
+        case Source.Reader reader -> {
+          if (!isRelayed) {
+            sources.relay().notReading(kind);
+          }
+          isRelayed = true;
+          watchAt(reader.address());
+          return;
+        }
+        case Source.Store store -> isProbing |= isRelayed;
+      }
+    }
+    isRelayed = false;
+    watchStore();
+  }
+
+  private void watchStore() {
     long wait = isProbing ? 0 : timing.waitMillis();
     long limit = isProbing ? PROBE_TIMEOUT_MILLIS : RESPONSE_MARGIN_MILLIS;
+    sources.calledStore();
     call(
         new StoreCall.Plan(
             waitMillis -> StoreFormat.watch(kind, revision, waitMillis), wait, LATE_MILLIS, limit),
         answer -> received(() -> changesReceived(answer.waitMillis(), answer.outcome())));
   }
 
+  private void watchAt(Address reader) {
+    long hold = isUnavailable ? 0 : timing.periodMillis() + HOLD_MARGIN_MILLIS;
+    sources.call(
+        reader,
+        StoreFormat.watch(kind, revision, hold),
+        hold + READER_LATE_MILLIS,
+        answer -> received(() -> answeredBy(reader, answer)));
+  }
+
+  private Runnable answeredBy(Address reader, StoreSources.Answer answer) {
+    if (answer.status() == StoreSources.Status.ELSEWHERE) {
+      isRelayed = false;
+      return this::watchStore;
+    }
+    if (answer.status() == StoreSources.Status.FAILED) {
+      isProbing = true;
+      return this::watchStore;
+    }
+    StoreFormat.Events events;
+    try {
+      events = StoreFormat.events(answer.body());
+    } catch (IOException e) {
+      sources.leave(reader, "unreadable");
+      isProbing = true;
+      return this::watchStore;
+    }
+    revision = Math.max(revision, events.revision());
+    succeeded();
+    listener.changed(events.events(), answer.proven(), currentAt);
+    if (answer.proven().monotonicMillis() > currentAt.monotonicMillis()) {
+      currentAt = answer.proven();
+    }
+    if (currentAt.ageMillis(Moment.now()) > oldestProofMillis()) {
+      sources.leave(reader, "outdated");
+      isProbing = true;
+      return this::watchStore;
+    }
+    return this::next;
+  }
+
+  /** Returns the age that a proof reaches while a reader's watches end without a failure. */
+  private long oldestProofMillis() {
+    return 2 * timing.waitMillis() + timing.pauseMillis() + LATE_MILLIS;
+  }
+
   /** Makes a call. While the store is unavailable, one connection per call is enough. */
   private void call(StoreCall.Plan plan, Consumer<StoreCall.Answer> consumer) {
     if (!isUnavailable) {
@@ -255,11 +347,13 @@
       return failed(outcome);
     }
     StoreFormat.Events events = StoreFormat.events(outcome.body());
+    final long before = revision;
     revision = events.revision();
     succeeded();
     listener.changed(events.events(), outcome.sent(), currentAt);
     boolean isEmpty = events.events().isEmpty();
     currentAt = provenAt(isEmpty, waitMillis, outcome.sent(), Moment.now());
+    sources.relay().changed(kind, before, events, outcome.body(), currentAt, timing.periodMillis());
     isProbing = !isEmpty && timing.isChangeConfirmed();
     return isEmpty ? this::next : () -> loop.after(timing.pauseMillis(), this::next);
   }
@@ -298,6 +392,7 @@
   }
 
   private Runnable retryAfterPause() {
+    sources.relay().failed(kind);
     isProbing = true;
     long pause = backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis);
     backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -22,6 +23,7 @@
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
+import org.bulrushpier.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -149,7 +151,8 @@
     ControlClient client = new ControlClient(loop, ConnectionPool.of(loop, 1_000));
     StoreWatch.Timing timing = new StoreWatch.Timing(waitMillis, 0);
     StoreWatch watch =
-        new StoreWatch(loop, client, () -> address, "servers", timing, new Recorder(fault));
+        new StoreWatch(
+            loop, client, () -> address, sources(address), "servers", timing, new Recorder(fault));
     // Loads the classes that the watch needs, which must not count towards its timeouts.
     CountDownLatch isLoaded = new CountDownLatch(1);
     loop.run(
@@ -160,6 +163,24 @@
     loop.run(watch::start);
   }
 
+  /** Sources without other instances. */
+  private StoreSources sources(Address store) {
+    String settings =
+        """
+        [gateway]
+        name = entry
+        domain = norte
+        caller-address = 127.0.0.1:1
+        ready-address = 127.0.0.1:1
+        metrics-address = 127.0.0.1:1
+        platform-address = %s
+        """;
+    GatewaySettings parsed =
+        GatewaySettings.parse("test.ini", settings.formatted(store), new ArrayList<>());
+    return new StoreSources(
+        new GatewayContext(loop, () -> parsed), new Address("127.0.0.1", 1), now -> List.of());
+  }
+
   private static String object(String name) {
     return "{\"metadata\":{\"name\":\"%s\",\"revision\":1},\"spec\":{}}".formatted(name);
   }
--- a/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
+++ b/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
@@ -27,14 +27,17 @@
    * @param startMillis the wall-clock time at which the sender started, in Unix milliseconds
    * @param sequence the number of the message since the start of the sender
    * @param upstreams the load on each upstream with requests in flight
+   * @param domain the name of the sender's failure domain, or empty if an older sender does not
+   *     tell it
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  record Load(long startMillis, long sequence, List<UpstreamLoad> upstreams)
+  record Load(long startMillis, long sequence, List<UpstreamLoad> upstreams, String domain)
       implements FleetMessage {
 
     /** Copies the list. */
     public Load {
       upstreams = List.copyOf(upstreams);
+      domain = domain == null ? "" : domain;
     }
   }
 
--- a/library/src/main/java/org/bulrushpier/fleet/Membership.java
+++ b/library/src/main/java/org/bulrushpier/fleet/Membership.java
@@ -43,7 +43,7 @@
   /** The largest number of instances that is remembered. */
   static final int MAX_KNOWN = 2_000;
 
-  private record Peer(long heardMillis, long learnedMillis) {
+  private record Peer(long heardMillis, long learnedMillis, String domain) {
     private boolean isLive(long nowMillis) {
       return nowMillis - heardMillis <= LIVE_MILLIS;
     }
@@ -66,6 +66,7 @@
   static final long YOUNG_MILLIS = 60_000;
 
   private static final long NEVER = Long.MIN_VALUE / 2;
+  private static final String UNKNOWN_DOMAIN = "";
 
   private final Address self;
   private final Set<Address> seeds = new LinkedHashSet<>();
@@ -108,11 +109,23 @@
    * @param nowMillis the current monotonic time, in milliseconds
    */
   public void heard(Address address, long nowMillis) {
+    Peer known = peers.get(address);
+    heard(address, known == null ? UNKNOWN_DOMAIN : known.domain, nowMillis);
+  }
+
+  /**
+   * Records a datagram from an instance that tells its failure domain.
+   *
+   * @param address the instance
+   * @param domain the name of its failure domain
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void heard(Address address, String domain, long nowMillis) {
     if (!address.equals(self) && (peers.containsKey(address) || peers.size() < MAX_KNOWN)) {
       if (firstHeardMillis == NEVER) {
         firstHeardMillis = nowMillis;
       }
-      if (peers.put(address, new Peer(nowMillis, nowMillis)) == null) {
+      if (peers.put(address, new Peer(nowMillis, nowMillis, domain)) == null) {
         lastAddedMillis = nowMillis;
       }
     }
@@ -126,7 +139,7 @@
    */
   public void learned(Address address, long nowMillis) {
     if (!address.equals(self) && peers.size() < MAX_KNOWN) {
-      if (peers.putIfAbsent(address, new Peer(NEVER, nowMillis)) == null) {
+      if (peers.putIfAbsent(address, new Peer(NEVER, nowMillis, UNKNOWN_DOMAIN)) == null) {
         lastAddedMillis = nowMillis;
       }
     }
@@ -151,6 +164,25 @@
     return 1 + (int) peers.values().stream().filter(peer -> peer.isLive(nowMillis)).count();
   }
 
+  /**
+   * Returns the live instances of this instance's failure domain. An instance whose domain is not
+   * known yet is left out.
+   *
+   * @param domain the name of the failure domain of this instance
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return their addresses, that of this instance included
+   */
+  public List<Address> liveInDomain(String domain, long nowMillis) {
+    List<Address> members = new ArrayList<>(List.of(self));
+    peers.forEach(
+        (address, peer) -> {
+          if (peer.domain.equals(domain) && peer.isLive(nowMillis)) {
+            members.add(address);
+          }
+        });
+    return members;
+  }
+
   /**
    * Checks whether every instance that should be there is live.
    *
--- a/library/src/test/java/org/bulrushpier/fleet/MembershipTest.java
+++ b/library/src/test/java/org/bulrushpier/fleet/MembershipTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.function.BiPredicate;
 import org.bulrushpier.Address;
+import org.bulrushpier.Codec;
 import org.junit.jupiter.api.Test;
 
 /** Plays the exchange of lists between instances, with cuts and replaced seeds. */
@@ -189,4 +190,31 @@
     young.learned(address(3), Membership.YOUNG_MILLIS);
     assertThat(young.place("r@1", Membership.YOUNG_MILLIS)).isPresent();
   }
+
+  @Test
+  void membersOfTheOwnDomainAreThoseThatHaveToldIt() {
+    Membership membership = Membership.of(address(0), List.of());
+    membership.heard(address(1), "norte", now);
+    membership.heard(address(2), "sul", now);
+    membership.heard(address(3), now);
+    membership.learned(address(4), now);
+    assertThat(membership.liveInDomain("norte", now))
+        .containsExactlyInAnyOrder(address(0), address(1));
+
+    now += Membership.LIVE_MILLIS;
+    membership.heard(address(3), "norte", now);
+    membership.heard(address(3), now);
+    now++;
+    assertThat(membership.liveInDomain("norte", now))
+        .containsExactlyInAnyOrder(address(0), address(3));
+  }
+
+  /** The domain was added to the message later. */
+  @Test
+  void loadOfOlderSenderNamesNoDomain() {
+    byte[] older = Codec.messagePack().write(List.of("l", List.of(7, 1, List.of())));
+
+    assertThat(Codec.messagePack().read(older, FleetMessage.class))
+        .isEqualTo(new FleetMessage.Load(7, 1, List.of(), ""));
+  }
 }
--- a/library/src/test/java/org/bulrushpier/fleet/PeerLoadsTest.java
+++ b/library/src/test/java/org/bulrushpier/fleet/PeerLoadsTest.java
@@ -15,7 +15,8 @@
 
   private static FleetMessage.Load load(long start, long sequence, int requests) {
     UpstreamLoad upstream = new UpstreamLoad("e", requests, requests * 100L, List.of(10L, 0L, 30L));
-    return new FleetMessage.Load(start, sequence, requests == 0 ? List.of() : List.of(upstream));
+    return new FleetMessage.Load(
+        start, sequence, requests == 0 ? List.of() : List.of(upstream), "norte");
   }
 
   @Test
@@ -78,8 +79,9 @@
     UpstreamLoad negative = new UpstreamLoad("e", -5, 0, List.of());
     UpstreamLoad huge = new UpstreamLoad("e", 1, Long.MAX_VALUE, List.of());
 
-    assertThat(loads.record(A, new FleetMessage.Load(1, 2, List.of(negative)), 1)).isFalse();
-    assertThat(loads.record(A, new FleetMessage.Load(1, 2, List.of(huge)), 1)).isFalse();
+    assertThat(loads.record(A, new FleetMessage.Load(1, 2, List.of(negative), "norte"), 1))
+        .isFalse();
+    assertThat(loads.record(A, new FleetMessage.Load(1, 2, List.of(huge), "norte"), 1)).isFalse();
     assertThat(loads.at("e", 0).requests()).isEqualTo(7);
   }
 
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -225,7 +225,7 @@
                     new UpstreamLoad(
                         engine.entry().id(), requests, memoryTokens, List.of(0L, pendingTokens)))
             .toList();
-    peers.record("10.0.0.9:1", new FleetMessage.Load(1, 1, loads), NOW);
+    peers.record("10.0.0.9:1", new FleetMessage.Load(1, 1, loads, "norte"), NOW);
   }
 
   @Test
@@ -261,7 +261,7 @@
     PromptShape prompt = prompt("s", 8_000);
     String home = chosen(prompt, ANY_VERSION);
     UpstreamLoad pending = new UpstreamLoad(home, 1, 4_000, List.of(4_000L));
-    peers.record("10.0.0.9:1", new FleetMessage.Load(1, 1, List.of(pending)), NOW);
+    peers.record("10.0.0.9:1", new FleetMessage.Load(1, 1, List.of(pending), "norte"), NOW);
 
     assertThat(chosen(prompt, ANY_VERSION)).isEqualTo(home);
   }
--- a/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
@@ -184,7 +184,7 @@
     void exchange() {
       List<UpstreamLoad> loads = new ArrayList<>();
       replicas.forEach(replica -> loads.add(replica.ownLoad()));
-      FleetMessage.Load load = new FleetMessage.Load(1, ++sequence, loads);
+      FleetMessage.Load load = new FleetMessage.Load(1, ++sequence, loads, "norte");
       for (Instance other : instances) {
         if (other != this) {
           other.peers.record(address, load, now);
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
@@ -38,6 +38,7 @@
   private boolean isDown;
   private int responsesToDrop;
   private String silentKind = "";
+  private long reads;
 
   /** A committed change of an object. */
   private record Change(long revision, String key, ObjectNode object, boolean isRemoved) {}
@@ -194,6 +195,15 @@
     notifyAll();
   }
 
+  /**
+   * Returns the number of lists and watches that were called since the start.
+   *
+   * @return the number of calls
+   */
+  public synchronized long reads() {
+    return reads;
+  }
+
   /** Waits until reads of a kind are answered again; returns whether they were not. */
   private synchronized boolean awaitAnswers(String kind) {
     boolean wasSilent = kind.equals(silentKind);
@@ -224,6 +234,7 @@
   private boolean handle(RawHttpServer.Request request, Socket socket) throws IOException {
     String key = request.path().replaceFirst("^/objects/", "");
     synchronized (this) {
+      reads += request.method().equals("GET") ? 1 : 0;
       if (isDown) {
         return RawHttpServer.sendJson(socket, UNAVAILABLE, "{}");
       }
