Homes of requests

Cause: allowed_regions of routes and customers was not read, so requests ran, and their cached parts were kept, in any region.

Change: Homes decides; ReplicaSelection excludes replicas outside and offers only stores inside; prompts with homes have cache namespaces of their own, as another prompt could otherwise fetch their parts elsewhere.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -624,7 +624,7 @@
       replica.breaker().begin(now);
       List<String> cacheTargets =
           prompt.isPresent()
-              ? CachePlanner.planSaves(prompt.get(), salt, replica, context.cacheStores(), now)
+              ? CachePlanner.planSaves(prompt.get(), salt, replica, selection.cacheStores(), now)
               : List.of();
       prompt.ifPresent(p -> replica.parts().add(salt, p.parts(), memoryTokens()));
       HttpFields fields =
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -1,5 +1,6 @@
 package org.bulrushpier.daemon.serve;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -7,6 +8,7 @@
 import org.bulrushpier.Moment;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.placing.CacheSalt;
+import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.placing.Candidates;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.Exclusion;
@@ -15,6 +17,7 @@
 import org.bulrushpier.site.CacheNamespaces;
 import org.bulrushpier.site.Configuration;
 import org.bulrushpier.site.ConfiguredRoute;
+import org.bulrushpier.site.Homes;
 import org.bulrushpier.site.KeyHolder;
 import org.bulrushpier.site.KnownConfiguration;
 import org.bulrushpier.site.Service;
@@ -38,6 +41,9 @@
   private final KeyHolder holder;
   private final String service;
 
+  /** The regions in which the request may run. */
+  private final Homes homes;
+
   /** Whether this request has been counted among those kept from evacuated domains. */
   private boolean isCountedAsKept;
 
@@ -52,6 +58,7 @@
     this.route = route;
     this.holder = holder;
     this.service = service;
+    homes = route.homes().and(holder.homes());
   }
 
   /** Returns the name of the service whose replicas are selected. */
@@ -120,12 +127,31 @@
    * @return the reason, or empty if it may get the request
    */
   Optional<Exclusion> exclusion(Replica replica, long now) {
-    if (!replica.isLeaving() && !context.evacuations().mayReceive(replica.entry().domain())) {
+    if (replica.isLeaving()) {
+      return Optional.of(Exclusion.LEAVING);
+    }
+    String domain = replica.entry().domain();
+    if (!isHome(domain)) {
+      return Optional.of(Exclusion.OUTSIDE_HOMES);
+    }
+    if (!context.evacuations().mayReceive(domain)) {
       return Optional.of(Exclusion.EVACUATED);
     }
     return replica.exclusion(now);
   }
 
+  private boolean isHome(String domain) {
+    return homes.isEverywhere()
+        || homes.allows(Optional.ofNullable(context.settings().domainRegions().get(domain)));
+  }
+
+  /** Returns the stores to and from which parts of the request's prompt may be moved. */
+  Collection<CacheStoreState> cacheStores() {
+    return homes.isEverywhere()
+        ? context.cacheStores()
+        : context.cacheStores().stream().filter(s -> isHome(s.store().domain())).toList();
+  }
+
   /** Returns whether a request that was placed at a replica must not be sent to it any more. */
   boolean isWithdrawn(Replica replica, long now) {
     return exclusion(replica, now).filter(Exclusion::isWithdrawal).isPresent();
@@ -153,7 +179,7 @@
             engines,
             usable,
             weightPreference(prompt.get().model()),
-            context.cacheStores(),
+            cacheStores(),
             excluded,
             priority(),
             route.goalMillis(),
@@ -178,7 +204,7 @@
    */
   String salt(int version) {
     String model = prompt.map(PromptShape::model).orElse("");
-    return new CacheSalt(model, version, namespace()).text();
+    return new CacheSalt(model, version, CacheNamespaces.within(namespace(), homes)).text();
   }
 
   private String namespace() {
--- a/library/src/main/java/org/bulrushpier/placing/Candidates.java
+++ b/library/src/main/java/org/bulrushpier/placing/Candidates.java
@@ -60,15 +60,15 @@
   }
 
   /**
-   * Returns the refusal of a request that no replica may take as long as operators do not change
-   * their mind, so that a wait would be in vain.
+   * Returns the refusal of a request that no replica may take, because of evacuations or its homes,
+   * as long as operators do not change their mind, so that a wait would be in vain.
    *
    * @return the refusal, or empty if a replica may take the request now or soon
    */
   public Optional<Placement.Refuse> refusal() {
     boolean isBarred =
         usable.isEmpty()
-            && isAnyEvacuated()
+            && (isAnyEvacuated() || excluded.containsKey(Exclusion.OUTSIDE_HOMES))
             && excluded.keySet().stream().allMatch(Exclusion::isLasting);
     return isBarred
         ? Optional.of(
--- a/library/src/main/java/org/bulrushpier/replica/Exclusion.java
+++ b/library/src/main/java/org/bulrushpier/replica/Exclusion.java
@@ -9,6 +9,8 @@
 public enum Exclusion {
   /** The replica is leaving or gone. */
   LEAVING("leaving"),
+  /** Its region is none in which the request may run. */
+  OUTSIDE_HOMES("outside the allowed regions"),
   /** Operators asked that nothing be sent to its failure domain. */
   EVACUATED("in an evacuated failure domain"),
   /** The replica said that it wants no requests for some time. */
@@ -27,7 +29,7 @@
   /** Returns whether the reason does not pass by itself while a caller waits. */
   public boolean isLasting() {
     return switch (this) {
-      case LEAVING, EVACUATED -> true;
+      case LEAVING, OUTSIDE_HOMES, EVACUATED -> true;
       case DEFERRED, PAUSED, BREAKER_OPEN -> false;
     };
   }
@@ -39,7 +41,7 @@
    */
   public boolean isWithdrawal() {
     return switch (this) {
-      case LEAVING, EVACUATED, DEFERRED -> true;
+      case LEAVING, OUTSIDE_HOMES, EVACUATED, DEFERRED -> true;
       case PAUSED, BREAKER_OPEN -> false;
     };
   }
--- a/library/src/main/java/org/bulrushpier/site/CacheNamespaces.java
+++ b/library/src/main/java/org/bulrushpier/site/CacheNamespaces.java
@@ -13,6 +13,9 @@
  * the set of isolated customers, because parts that a customer made before it was isolated remain
  * in the namespace in which it made them, on engines and in cache stores that record no maker.
  *
+ * <p>Prompts that may be moved to some regions only have namespaces of their own within these, one
+ * for each set of regions.
+ *
  * <p>Invariant: a shared namespace contains only parts of customers that are not isolated by any
  * configuration in which that namespace is used. It depends on nothing but the configuration, so
  * all instances agree, also after a restart. Immutable and thread-safe.
@@ -25,6 +28,7 @@
   private static final String ISOLATED_PREFIX = "customer.";
   private static final String SHARED_PREFIX = "shared.";
   private static final String OUTDATED_PREFIX = "outdated.";
+  private static final String HOMES_PREFIX = "homes.";
   private static final int DIGEST_CHARACTERS = 16;
 
   private final Set<String> isolated;
@@ -71,4 +75,18 @@
   public static String outdatedNamespace(String customer) {
     return OUTDATED_PREFIX + customer;
   }
+
+  /**
+   * Narrows a namespace to the parts of prompts that may be moved to some regions only. Prompts
+   * that may be moved to others must not find these parts.
+   *
+   * @param namespace the namespace that the customer has otherwise
+   * @param homes the regions
+   * @return the narrower namespace, or the same one if there is no restriction
+   */
+  public static String within(String namespace, Homes homes) {
+    return homes.isEverywhere()
+        ? namespace
+        : HOMES_PREFIX + digest(homes.regions()) + "." + namespace;
+  }
 }
--- a/library/src/main/java/org/bulrushpier/site/ConfiguredRoute.java
+++ b/library/src/main/java/org/bulrushpier/site/ConfiguredRoute.java
@@ -20,6 +20,7 @@
  * @param backends the services that share its requests
  * @param maxAttempts the maximum number of upstreams to which one request may be sent
  * @param isPublic whether callers need no API key
+ * @param homes the regions in which its requests may run
  */
 public record ConfiguredRoute(
     String name,
@@ -33,7 +34,8 @@
     int priority,
     List<Backend> backends,
     int maxAttempts,
-    boolean isPublic) {
+    boolean isPublic,
+    Homes homes) {
 
   /** Copies the list. */
   public ConfiguredRoute {
--- a/library/src/main/java/org/bulrushpier/site/KeyHolder.java
+++ b/library/src/main/java/org/bulrushpier/site/KeyHolder.java
@@ -7,11 +7,12 @@
  *
  * @param customer the name of the customer
  * @param priority the customer's priority, which overrides that of the route, or -1 if it has none
+ * @param homes the regions in which the customer's requests may run
  */
-public record KeyHolder(String customer, int priority) {
+public record KeyHolder(String customer, int priority, Homes homes) {
 
   /** The holder used for requests on public routes. */
-  public static final KeyHolder ANONYMOUS = new KeyHolder("", -1);
+  public static final KeyHolder ANONYMOUS = new KeyHolder("", -1, Homes.EVERYWHERE);
 
   /**
    * Returns the priority of a request.
--- a/library/src/test/java/org/bulrushpier/site/CacheNamespacesTest.java
+++ b/library/src/test/java/org/bulrushpier/site/CacheNamespacesTest.java
@@ -70,4 +70,28 @@
         .isNotEqualTo(namespaces.namespace("comas"))
         .isNotEqualTo(namespaces.namespace("surco"));
   }
+
+  @Test
+  void promptsShareNoPartsWithPromptsOfOtherHomes() {
+    CacheNamespaces namespaces = CacheNamespaces.of(Set.of("surco"));
+    List<String> customers =
+        List.of(
+            namespaces.namespace("surco"),
+            namespaces.namespace("comas"),
+            CacheNamespaces.outdatedNamespace("comas"));
+    List<Homes> homes =
+        List.of(
+            Homes.EVERYWHERE,
+            Homes.of(Set.of("lima")),
+            Homes.of(Set.of("cusco")),
+            Homes.of(Set.of("lima", "cusco")));
+
+    List<String> names =
+        customers.stream()
+            .flatMap(name -> homes.stream().map(h -> CacheNamespaces.within(name, h)))
+            .toList();
+
+    assertThat(names).doesNotHaveDuplicates();
+    assertThat(names).containsAll(customers);
+  }
 }
