Watch evacuations in steps of 2.5 s instead of 3 s

Cause: a connection that fell silent was noticed 3.3 s later; an instance counts as in touch 3 s after a disturbance on some deployments, so its first moments in touch could miss the bound. Found by reading.

Change: the wait is at most 2.5 s and half of the bound, as for replicas.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -64,14 +64,14 @@
   /** New weights must be in place within 8 s, of which an order takes a few seconds. */
   private static final StoreWatch.Timing WEIGHTS_TIMING = new StoreWatch.Timing(3_000, 50, true);
 
-  /** The longest wait of a watch for evacuations, in milliseconds. */
-  private static final long MAX_EVACUATION_WAIT_MILLIS = 3_000;
+  /** The longest wait of a watch for evacuations; a silent connection is tolerated for 3 s. */
+  private static final long MAX_EVACUATION_WAIT_MILLIS = 2_500;
 
   /**
    * The wait of a watch for evacuations as a share of the time within which they must be in force;
    * the rest is for a call on another connection after one that stays silent.
    */
-  private static final double EVACUATION_WAIT_SHARE = 0.6;
+  private static final double EVACUATION_WAIT_SHARE = 0.5;
 
   /** Pause after changes of evacuations, in milliseconds: several may come together. */
   private static final long EVACUATION_PAUSE_MILLIS = 50;
