Find the pace of replicas that have just started from their answers

Cause: a replica that has just started or recovered looks idle to every instance and holds no cached parts, so all instances send to it at once, or few do for long. Change: a window of requests in flight for each such replica, over all instances, that grows with answers within what was predicted, is halved by late ones, and ends when it no longer binds; instances tell each other what they have added and taken away (docs/design/pace.md). Only for services with cold replicas and replicas that report how long work takes.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
@@ -9,7 +9,6 @@
 import org.bulrushpier.replica.ColdSpell;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.settings.GatewaySettings;
-import org.bulrushpier.site.Service;
 
 /**
  * Keeps requests from cold replicas beyond what they bear, and logs which ones are cold.
@@ -32,19 +31,10 @@
     places = source;
   }
 
-  private Service.ColdStart coldStart(String service) {
-    return context
-        .configuration()
-        .configuration()
-        .flatMap(configuration -> configuration.service(service))
-        .map(Service::coldStart)
-        .orElse(Service.ColdStart.NONE);
-  }
-
   private ColdLimit limit(String service) {
     GatewaySettings settings = context.settings();
     return new ColdLimit(
-        coldStart(service).perSecond(), settings.coldOverage(), settings.coldSlack());
+        context.coldStart(service).perSecond(), settings.coldOverage(), settings.coldSlack());
   }
 
   /** Records what a registry entry says. */
@@ -56,12 +46,15 @@
       Replica replica, long leftMillis, boolean isKnown, String source, long nowMillis) {
     if (replicas.told(replica, leftMillis, isKnown, nowMillis)) {
       logCold(replica, source, nowMillis);
+      if (isKnown) {
+        context.paces().begin(replica, "cold again", nowMillis);
+      }
     }
   }
 
   /** Records what an answer says of its replica, and that there was one. */
   void answered(Replica replica, long leftMillis, long nowMillis) {
-    replicas.answered(replica, coldStart(replica.entry().service()).millis(), nowMillis);
+    replicas.answered(replica, context.coldStart(replica.entry().service()).millis(), nowMillis);
     told(replica, leftMillis, true, "answer", nowMillis);
   }
 
@@ -108,10 +101,10 @@
     return admitted;
   }
 
-  /** Lets a request wait that is refused only because cold replicas were left out. */
+  /** Lets a request wait that is refused only because cold or paced replicas were left out. */
   static Placement waitForSeat(Placement placement, boolean isAnyLeft) {
     return placement instanceof Placement.Refuse && !isAnyLeft
-        ? new Placement.Wait("the replicas that could take it are cold")
+        ? new Placement.Wait("the replicas that could take it are cold or have just started")
         : placement;
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -765,6 +765,7 @@
           replica.breaker().failed(now);
           replica.markUnreachable(now);
           context.cold().failed(replica, now);
+          context.paces().failed(replica, now);
           context
               .log()
               .event(
@@ -919,6 +920,7 @@
       beginBody(response.isEventStream() ? -1 : read.length());
       inFlight.markStarted();
       long now = MonotonicClock.millis();
+      recordPace(now);
       replica.recordActivity(now);
       context.cold().answered(replica, response.coldMillis(), now);
       response.load().ifPresent(load -> replica.recordLoad(load, now));
@@ -949,6 +951,19 @@
       }
     }
 
+    private void recordPace(long nowMillis) {
+      boolean isPredicted = placement.expectedMillis() > 0;
+      context
+          .paces()
+          .answered(
+              replica,
+              response,
+              nowMillis - inFlight.sentMillis(),
+              isPredicted ? placement.expectedMillis() : route.goalMillis(),
+              isPredicted ? route.goalMillis() : 0,
+              nowMillis);
+    }
+
     private void beginBody(long length) {
       ByteBudget budget = context.loop().budget();
       body =
@@ -1204,6 +1219,7 @@
       attemptEnd = "upstream failed";
       replica.breaker().failed(MonotonicClock.millis());
       context.cold().failed(replica, MonotonicClock.millis());
+      context.paces().failed(replica, MonotonicClock.millis());
       context
           .log()
           .event(
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -19,6 +19,7 @@
 import org.bulrushpier.daemon.net.EventLoop;
 import org.bulrushpier.fleet.FleetMessage;
 import org.bulrushpier.fleet.Membership;
+import org.bulrushpier.fleet.PaceReport;
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.fleet.UpstreamLoad;
 import org.bulrushpier.fleet.WeightAge;
@@ -98,6 +99,7 @@
         new FleetExchange(context, Membership.of(address, context.settings().seeds()), channel);
     context.poison().turn(exchange::turn);
     context.cold().places(exchange.membership::place);
+    context.paces().places(exchange.membership::place);
     Thread receiver = new Thread(exchange::receiveAll, "fleet");
     receiver.setDaemon(true);
     receiver.start();
@@ -229,6 +231,7 @@
     }
     wasIdle = isIdle;
     lastLoadMillis = nowMillis;
+    tellPaces(contacts);
     byte[] bytes =
         Codec.messagePack()
             .write(
@@ -237,6 +240,14 @@
     contacts.forEach(contact -> send(contact, bytes));
   }
 
+  private void tellPaces(List<Address> contacts) {
+    List<PaceReport> reports = context.paces().reports();
+    if (!reports.isEmpty()) {
+      byte[] bytes = Codec.messagePack().write(new FleetMessage.Paces(reports));
+      contacts.forEach(contact -> send(contact, bytes));
+    }
+  }
+
   private void sendMembers(Address to, boolean isReplyExpected, long nowMillis) {
     List<String> addresses = membership.liveAddresses(nowMillis, ThreadLocalRandom.current());
     send(to, Codec.messagePack().write(new FleetMessage.Members(isReplyExpected, addresses)));
@@ -302,6 +313,11 @@
           tellCrashes(List.of(sender));
         }
       }
+      case FleetMessage.Paces paces -> {
+        if (!context.paces().learn(sender.toString(), paces.replicas(), now)) {
+          ignored(sender, "implausible paces");
+        }
+      }
       case FleetMessage.WeightQuestion question ->
           send(
               sender,
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -204,6 +204,12 @@
             "bulrushpier.cold.seats.used",
             "Requests that this instance has sent to cold replicas in the last second",
             () -> context.cold().usedSeats(MonotonicClock.millis()));
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.replicas.paced",
+            "Replicas that have just started or recovered and whose pace is being found",
+            () -> context.paces().pacedReplicas());
     long wait = context.keyFreshness().watchMillis();
     watch(StoreFormat.CRASH_REPORTS, CRASH_TIMING, crashReports);
     watch(
@@ -287,6 +293,7 @@
     }
     loop.run(() -> context.cold().tick(now));
     loop.run(() -> sources.tick(stalledMillis, now));
+    loop.run(() -> context.paces().tick(now));
     // A failure of one step must not keep the others from being taken.
     for (Exchange exchange : List.copyOf(exchanges)) {
       loop.run(() -> exchange.tickOrGiveUp(now));
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -62,10 +62,12 @@
   private final Set<Replica> unverified = new HashSet<>();
   private final EventLog log = new EventLog();
   private final ColdGuard cold = new ColdGuard(this);
+  private final PaceGuard paces = new PaceGuard(this);
   private final PoisonGuard poison = new PoisonGuard(log, metrics);
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, PlacementQueue<Exchange>> placementQueues = new HashMap<>();
   private final StallDetector stalls = new StallDetector();
+  private int liveInstances = 1;
   private int mostInstances = 1;
   private long configurationChangedMillis = MonotonicClock.millis();
 
@@ -167,6 +169,20 @@
     return poison;
   }
 
+  /** Returns the guard of replicas that have just started or recovered. */
+  PaceGuard paces() {
+    return paces;
+  }
+
+  /** Returns what replicas of a service bear after their start, as far as it is configured. */
+  Service.ColdStart coldStart(String service) {
+    return configuration
+        .configuration()
+        .flatMap(known -> known.service(service))
+        .map(Service::coldStart)
+        .orElse(Service.ColdStart.NONE);
+  }
+
   /** Returns the guard of cold replicas. */
   ColdGuard cold() {
     return cold;
@@ -225,8 +241,14 @@
     return budget;
   }
 
+  /** Returns the number of live instances, this one included. */
+  int liveInstances() {
+    return liveInstances;
+  }
+
   /** Records the number of live instances, among which the minimum number of retries is divided. */
   void recordInstances(int instances) {
+    liveInstances = instances;
     mostInstances = Math.max(mostInstances, instances);
   }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -78,6 +78,9 @@
   private final Counter withheldFromCold =
       counter("bulrushpier.cold.withheld", "Selections of a replica that left out cold ones");
 
+  private final Counter withheldByPace =
+      counter("bulrushpier.pace.withheld", "Selections that left out replicas because of a pace");
+
   private final Counter placedAtCold =
       counter("bulrushpier.cold.placed", "Requests placed at cold replicas");
 
@@ -196,6 +199,10 @@
     withheldFromCold.increment();
   }
 
+  void withheldByPace() {
+    withheldByPace.increment();
+  }
+
   void placedAtCold() {
     placedAtCold.increment();
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -98,7 +98,8 @@
     }
     Optional<Service> target =
         context.configuration().configuration().flatMap(c -> c.service(service));
-    List<Replica> admitted = context.cold().admitted(service, usable, now);
+    List<Replica> admitted =
+        context.paces().admitted(context.cold().admitted(service, usable, now), now);
     Placement placement =
         target.isPresent() && target.get() instanceof Service.Engines engines
             ? placeOnEngine(engines, admitted, excluded, remaining, now)
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.bulrushpier.Moment;
 import org.bulrushpier.MonotonicClock;
@@ -88,10 +89,19 @@
   }
 
   private void put(ReadableObject value, ReplicaEntry entry, long nowMillis) {
+    Replica before = context.replicas().find(entry.id());
+    Map<String, Integer> weights = before == null ? Map.of() : before.entry().weightVersions();
     Change change = context.replicas().put(entry);
     if (change != Change.FOREIGN && change != Change.STALE) {
-      boolean isKnown = change != Change.ADDED && change != Change.RESTARTED;
       Replica replica = context.replicas().find(entry.id());
+      boolean isStarted =
+          change == Change.RESTARTED || change == Change.ADDED && context.replicas().isListed();
+      boolean isKnown = change != Change.ADDED && change != Change.RESTARTED;
+      if (isStarted) {
+        context.paces().begin(replica, "started", nowMillis);
+      } else if (isKnown && !weights.equals(entry.weightVersions())) {
+        context.paces().begin(replica, "new weights", nowMillis);
+      }
       context.cold().entryRead(replica, isKnown, value.revision(), nowMillis);
     }
     if (change == Change.FOREIGN) {
--- a/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
+++ b/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
@@ -17,7 +17,8 @@
   @JsonSubTypes.Type(value = FleetMessage.Members.class, name = "m"),
   @JsonSubTypes.Type(value = FleetMessage.WeightQuestion.class, name = "q"),
   @JsonSubTypes.Type(value = FleetMessage.WeightAnswer.class, name = "a"),
-  @JsonSubTypes.Type(value = FleetMessage.Crashes.class, name = "c")
+  @JsonSubTypes.Type(value = FleetMessage.Crashes.class, name = "c"),
+  @JsonSubTypes.Type(value = FleetMessage.Paces.class, name = "p")
 })
 public sealed interface FleetMessage {
 
@@ -86,4 +87,19 @@
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Crashes(CrashKnowledge knowledge) implements FleetMessage {}
+
+  /**
+   * Tells what the sender has found about replicas that have just started, which replaces what it
+   * told about them before.
+   *
+   * @param replicas the replicas
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Paces(List<PaceReport> replicas) implements FleetMessage {
+
+    /** Copies the list. */
+    public Paces {
+      replicas = List.copyOf(replicas);
+    }
+  }
 }
--- a/library/src/main/java/org/bulrushpier/fleet/Place.java
+++ b/library/src/main/java/org/bulrushpier/fleet/Place.java
@@ -15,4 +15,28 @@
 
   /** The place of an instance that is the only one of its site. */
   public static final Place ALONE = new Place(0, 1, 0, 1, false);
+
+  /**
+   * Returns this instance's part of a number that is dealt out to the live instances in turn.
+   *
+   * @param number the number, at least 0
+   * @return the part, at least 0
+   */
+  public int liveShare(int number) {
+    return share(number, liveRank, liveMembers);
+  }
+
+  /**
+   * Returns this instance's part of a number that is dealt out to the remembered instances in turn.
+   *
+   * @param number the number, at least 0
+   * @return the part, at least 0
+   */
+  public int rememberedShare(int number) {
+    return share(number, rank, members);
+  }
+
+  private static int share(int number, int rank, int members) {
+    return Math.max(0, (number - rank + members - 1) / members);
+  }
 }
--- a/library/src/main/java/org/bulrushpier/limit/CircuitBreaker.java
+++ b/library/src/main/java/org/bulrushpier/limit/CircuitBreaker.java
@@ -29,6 +29,11 @@
     return failures < FAILURES_TO_OPEN || nowMillis >= openUntilMillis;
   }
 
+  /** Returns whether the last calls failed, so that the next one is a probe. */
+  public synchronized boolean isOpen() {
+    return failures >= FAILURES_TO_OPEN;
+  }
+
   /**
    * Records the start of a call. If the call is a probe, the circuit stays open for other calls
    * while it runs, for at most the current open time.
--- a/library/src/main/java/org/bulrushpier/limit/ColdLimit.java
+++ b/library/src/main/java/org/bulrushpier/limit/ColdLimit.java
@@ -63,9 +63,7 @@
    */
   public int share(Place place) {
     int most = place.isYoung() ? aim() : most();
-    return Math.min(
-        seats(most, place.rank(), place.members()),
-        seats(aim(), place.liveRank(), place.liveMembers()));
+    return Math.min(place.rememberedShare(most), place.liveShare(aim()));
   }
 
   /**
@@ -76,12 +74,6 @@
    * @return the number of requests that it may send in a window, at least 0
    */
   public int share(Place place, long elapsedMillis) {
-    double seats = aim() * Math.pow(2, elapsedMillis / DOUBLING_MILLIS);
-    return seats((int) seats, place.liveRank(), place.liveMembers());
-  }
-
-  /** Returns how many of the seats an instance gets if they are dealt out in turn. */
-  private static int seats(int seats, int rank, int members) {
-    return Math.max(0, (seats - rank + members - 1) / members);
+    return place.liveShare((int) (aim() * Math.pow(2, elapsedMillis / DOUBLING_MILLIS)));
   }
 }
