Cold and starting replicas are exclusions of their own; pace after an evacuation

Cause: the limits of cold and starting replicas were applied beside the other reasons for which a replica gets no request, so a refusal could not name them, and the replicas of a domain that takes requests again had no pace. Change: both are members of Exclusion; a withdrawn evacuation begins the paces of its domain. Tests: ColdReplicasTest, ColdReplicasPropertyTest, ReplicaPacesTest.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
@@ -1,12 +1,11 @@
 package org.bulrushpier.daemon.serve;
 
-import java.util.List;
 import java.util.Optional;
 import org.bulrushpier.fleet.Place;
 import org.bulrushpier.limit.ColdLimit;
-import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.ColdReplicas;
 import org.bulrushpier.replica.ColdSpell;
+import org.bulrushpier.replica.Exclusion;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.settings.GatewaySettings;
 
@@ -92,20 +91,12 @@
     replicas.registryRead(context.replicas().isCurrent(nowMillis));
   }
 
-  /** Returns the replicas of a service that a request may be sent to now. */
-  List<Replica> admitted(String service, List<Replica> usable, long nowMillis) {
-    List<Replica> admitted = replicas.admitted(limit(service), usable, nowMillis);
-    if (admitted.size() < usable.size()) {
-      context.metrics().withheldFromCold();
-    }
-    return admitted;
-  }
-
-  /** Lets a request wait that is refused only because cold or paced replicas were left out. */
-  static Placement waitForSeat(Placement placement, boolean isAnyLeft) {
-    return placement instanceof Placement.Refuse && !isAnyLeft
-        ? new Placement.Wait("the replicas that could take it are cold or have just started")
-        : placement;
+  /** Returns the reason if a cold replica may be sent no more requests now. */
+  Optional<Exclusion> exclusion(Replica replica, long nowMillis) {
+    return replicas.isIdle(nowMillis)
+            || replicas.admits(limit(replica.entry().service()), replica, nowMillis)
+        ? Optional.empty()
+        : Optional.of(Exclusion.COLD);
   }
 
   /** Records a request that is about to be sent to a replica. */
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/EvacuationWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/EvacuationWatcher.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.bulrushpier.Moment;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.SiteFormat;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
@@ -112,6 +113,9 @@
     if (change == Change.NONE) {
       return;
     }
+    if (change == Change.WITHDRAWN) {
+      context.paces().beginDomain(domain, "evacuation withdrawn", MonotonicClock.millis());
+    }
     long maxAge =
         changedAfter.equals(Moment.DISTANT_PAST) ? -1 : changedAfter.ageMillis(Moment.now());
     context
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -75,11 +75,10 @@
           "bulrushpier.requests.kept.evacuated",
           "Requests for which replicas of evacuated failure domains were passed over");
 
-  private final Counter withheldFromCold =
-      counter("bulrushpier.cold.withheld", "Selections of a replica that left out cold ones");
-
-  private final Counter withheldByPace =
-      counter("bulrushpier.pace.withheld", "Selections that left out replicas because of a pace");
+  private final Counter withheldFromStarted =
+      counter(
+          "bulrushpier.cold.withheld",
+          "Selections that left out replicas that are cold or have just started");
 
   private final Counter placedAtCold =
       counter("bulrushpier.cold.placed", "Requests placed at cold replicas");
@@ -195,12 +194,8 @@
     outdatedWeights.record(Duration.ofMillis(outdatedMillis));
   }
 
-  void withheldFromCold() {
-    withheldFromCold.increment();
-  }
-
-  void withheldByPace() {
-    withheldByPace.increment();
+  void withheldFromStarted() {
+    withheldFromStarted.increment();
   }
 
   void placedAtCold() {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/PaceGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/PaceGuard.java
@@ -1,13 +1,17 @@
 package org.bulrushpier.daemon.serve;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.bulrushpier.call.UpstreamResponse;
+import org.bulrushpier.call.UpstreamResponse.ReportedLoad;
 import org.bulrushpier.fleet.PaceReport;
 import org.bulrushpier.fleet.Place;
 import org.bulrushpier.replica.ColdReplicas;
+import org.bulrushpier.replica.Exclusion;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.replica.ReplicaPaces;
 
@@ -26,6 +30,10 @@
   private final ReplicaPaces paces =
       ReplicaPaces.of((key, nowMillis) -> this.places.place(key, nowMillis));
   private ColdReplicas.PlaceSource places = (key, nowMillis) -> Optional.of(Place.ALONE);
+
+  /** The services whose replicas report how long work takes on their machine. */
+  private final Set<String> servicesWithDuration = new HashSet<>();
+
   private long neighboursMillis = Long.MIN_VALUE / 2;
 
   PaceGuard(GatewayContext context) {
@@ -37,9 +45,10 @@
     places = source;
   }
 
-  /** Returns whether the configuration calls for a pace of replicas of this kind. */
+  /** Returns whether the configuration or the replicas themselves call for a pace. */
   private boolean isPaced(Replica replica) {
-    return context.coldStart(replica.entry().service()).perSecond() > 0;
+    String service = replica.entry().service();
+    return context.coldStart(service).perSecond() > 0 || servicesWithDuration.contains(service);
   }
 
   /** Begins the pace of a replica that all instances see start or change. */
@@ -49,6 +58,15 @@
     }
   }
 
+  /** Begins the paces of the replicas of a failure domain that takes requests again. */
+  void beginDomain(String domain, String reason, long nowMillis) {
+    for (Replica replica : context.replicas().all()) {
+      if (replica.entry().domain().equals(domain)) {
+        begin(replica, reason, nowMillis);
+      }
+    }
+  }
+
   private void logBegin(Replica replica, String reason, long nowMillis) {
     context
         .log()
@@ -78,6 +96,9 @@
       long expectedMillis,
       long goalMillis,
       long nowMillis) {
+    if (response.load().filter(ReportedLoad::hasDuration).isPresent()) {
+      servicesWithDuration.add(replica.entry().service());
+    }
     boolean isBack = replica.isUnreachable(nowMillis) || replica.breaker().isOpen();
     if (isBack && response.isSuccess() && isPaced(replica) && !paces.isPaced(replica)) {
       paces.beginOwn(replica, "answers again", nowMillis);
@@ -98,13 +119,9 @@
     paces.failed(replica, nowMillis);
   }
 
-  /** Returns the replicas that a request may be sent to now. */
-  List<Replica> admitted(List<Replica> replicas, long nowMillis) {
-    List<Replica> admitted = paces.admitted(replicas, nowMillis);
-    if (admitted.size() < replicas.size()) {
-      context.metrics().withheldByPace();
-    }
-    return admitted;
+  /** Returns the reason if a replica that has just started may be sent no more requests now. */
+  Optional<Exclusion> exclusion(Replica replica, long nowMillis) {
+    return paces.admits(replica, nowMillis) ? Optional.empty() : Optional.of(Exclusion.STARTING);
   }
 
   /** Returns what other instances are told. */
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -88,7 +88,7 @@
       return refusal.get();
     }
     List<Replica> usable = candidates.usable();
-    if (usable.isEmpty()) {
+    if (usable.isEmpty() && !candidates.isAnyLimited()) {
       OptionalLong deferral = context.replicas().deferralMillis(service, now);
       if (deferral.isPresent()) {
         return new Placement.Refuse(
@@ -98,16 +98,11 @@
     }
     Optional<Service> target =
         context.configuration().configuration().flatMap(c -> c.service(service));
-    List<Replica> admitted =
-        context.paces().admitted(context.cold().admitted(service, usable, now), now);
     Placement placement =
         target.isPresent() && target.get() instanceof Service.Engines engines
-            ? placeOnEngine(engines, admitted, excluded, remaining, now)
-            : context.plainPlacement().choose(admitted, excluded, now);
-    return admitted.size() == usable.size()
-        ? placement
-        : ColdGuard.waitForSeat(
-            placement, admitted.stream().anyMatch(r -> !excluded.contains(r.entry().id())));
+            ? placeOnEngine(engines, usable, excluded, remaining, now)
+            : context.plainPlacement().choose(usable, excluded, now);
+    return candidates.orWait(placement, excluded);
   }
 
   private Candidates candidates(long now) {
@@ -117,6 +112,9 @@
       isCountedAsKept = true;
       context.metrics().keptFromEvacuated();
     }
+    if (candidates.isAnyLimited()) {
+      context.metrics().withheldFromStarted();
+    }
     return candidates;
   }
 
@@ -138,7 +136,10 @@
     if (!context.evacuations().mayReceive(domain)) {
       return Optional.of(Exclusion.EVACUATED);
     }
-    return replica.exclusion(now);
+    return replica
+        .exclusion(now)
+        .or(() -> context.cold().exclusion(replica, now))
+        .or(() -> context.paces().exclusion(replica, now));
   }
 
   private boolean isHome(String domain) {
--- a/library/src/main/java/org/bulrushpier/placing/Candidates.java
+++ b/library/src/main/java/org/bulrushpier/placing/Candidates.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.bulrushpier.replica.Exclusion;
@@ -54,6 +55,27 @@
     return new Candidates(usable, excluded);
   }
 
+  /** Returns whether a replica is excluded because it is cold or has just started. */
+  public boolean isAnyLimited() {
+    return excluded.containsKey(Exclusion.COLD) || excluded.containsKey(Exclusion.STARTING);
+  }
+
+  /**
+   * Lets a request wait that would be refused only because the replicas that could take it are cold
+   * or have just started.
+   *
+   * @param placement the placement among the usable replicas
+   * @param excludedIds the ids of replicas that must not be selected for the request
+   * @return the placement, or a wait in place of a refusal
+   */
+  public Placement orWait(Placement placement, Set<String> excludedIds) {
+    boolean isAnyLeft =
+        usable.stream().anyMatch(replica -> !excludedIds.contains(replica.entry().id()));
+    return placement instanceof Placement.Refuse && isAnyLimited() && !isAnyLeft
+        ? new Placement.Wait("the replicas that could take it are cold or have just started")
+        : placement;
+  }
+
   /** Returns whether a replica is excluded by an evacuation. */
   public boolean isAnyEvacuated() {
     return excluded.containsKey(Exclusion.EVACUATED);
--- a/library/src/main/java/org/bulrushpier/replica/ColdReplicas.java
+++ b/library/src/main/java/org/bulrushpier/replica/ColdReplicas.java
@@ -133,28 +133,26 @@
   }
 
   /**
-   * Selects the replicas of a service to which a request may be sent now.
+   * Checks whether no replica is limited now.
    *
-   * @param limit the limit of the service
-   * @param replicas the replicas
    * @param nowMillis the current monotonic time, in milliseconds
-   * @return the replicas that are not cold or have a free seat
+   * @return true if each request may be sent to any replica
    */
-  public List<Replica> admitted(ColdLimit limit, List<Replica> replicas, long nowMillis) {
-    if (!limit.isLimiting() || cold.isEmpty() && !isUncertain(nowMillis)) {
-      return replicas;
-    }
-    List<Replica> admitted = new ArrayList<>(replicas.size());
-    for (Replica replica : replicas) {
-      if (admits(limit, replica, nowMillis)) {
-        admitted.add(replica);
-      }
-    }
-    return admitted;
+  public boolean isIdle(long nowMillis) {
+    return cold.isEmpty() && !isUncertain(nowMillis);
   }
 
-  private boolean admits(ColdLimit limit, Replica replica, long nowMillis) {
-    return replica.coldSpell().sends(nowMillis) < share(limit, replica, nowMillis);
+  /**
+   * Checks whether a request may be sent to a replica now.
+   *
+   * @param limit the limit of its service
+   * @param replica the replica
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return true if it is not cold or has a free seat
+   */
+  public boolean admits(ColdLimit limit, Replica replica, long nowMillis) {
+    return !limit.isLimiting()
+        || replica.coldSpell().sends(nowMillis) < share(limit, replica, nowMillis);
   }
 
   /**
--- a/library/src/main/java/org/bulrushpier/replica/Exclusion.java
+++ b/library/src/main/java/org/bulrushpier/replica/Exclusion.java
@@ -18,7 +18,11 @@
   /** The replica is changing its weights, or refused a request just now. */
   PAUSED("paused"),
   /** The replica failed several requests in a row. */
-  BREAKER_OPEN("failing");
+  BREAKER_OPEN("failing"),
+  /** The replica is cold, and this instance may send it no more requests for now. */
+  COLD("cold"),
+  /** The replica has just started or recovered, and has as many requests as it is known to bear. */
+  STARTING("just started");
 
   private final String description;
 
@@ -30,7 +34,7 @@
   public boolean isLasting() {
     return switch (this) {
       case LEAVING, OUTSIDE_HOMES, EVACUATED -> true;
-      case DEFERRED, PAUSED, BREAKER_OPEN -> false;
+      case DEFERRED, PAUSED, BREAKER_OPEN, COLD, STARTING -> false;
     };
   }
 
@@ -42,7 +46,7 @@
   public boolean isWithdrawal() {
     return switch (this) {
       case LEAVING, OUTSIDE_HOMES, EVACUATED, DEFERRED -> true;
-      case PAUSED, BREAKER_OPEN -> false;
+      case PAUSED, BREAKER_OPEN, COLD, STARTING -> false;
     };
   }
 
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaEntry.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaEntry.java
@@ -35,6 +35,19 @@
     weightVersions = Map.copyOf(weightVersions);
   }
 
+  /** Creates the entry of a replica that is not cold. */
+  public ReplicaEntry(
+      String id,
+      String service,
+      Address address,
+      String domain,
+      int slots,
+      boolean isDraining,
+      long startMillis,
+      Map<String, Integer> weightVersions) {
+    this(id, service, address, domain, slots, isDraining, startMillis, weightVersions, 0);
+  }
+
   /** Returns an id that differs from that of any other incarnation. */
   public String incarnation() {
     return id + "@" + startMillis;
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaPaces.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaPaces.java
@@ -116,19 +116,14 @@
   }
 
   /**
-   * Selects the replicas to which a request may be sent now.
+   * Checks whether a request may be sent to a replica now.
    *
-   * @param replicas the replicas
+   * @param replica the replica
    * @param nowMillis the current monotonic time, in milliseconds
-   * @return those without a pace, or with room in this instance's share of the window
+   * @return true if it has no pace, or there is room in this instance's share of the window
    */
-  public List<Replica> admitted(List<Replica> replicas, long nowMillis) {
-    if (paced.isEmpty()) {
-      return replicas;
-    }
-    return replicas.stream()
-        .filter(replica -> replica.ownRequests() < share(replica, nowMillis))
-        .toList();
+  public boolean admits(Replica replica, long nowMillis) {
+    return paced.isEmpty() || replica.ownRequests() < share(replica, nowMillis);
   }
 
   /**
@@ -230,7 +225,7 @@
       if (isOver || replica.isLeaving()) {
         paced.remove(replica);
         ended.add(new Ended(replica, pace.reason(), nowMillis - pace.startMillis(), window));
-        if (isOver && pace.isJoint()) {
+        if (isOver && pace.isJoint() && pace.credit() != 0) {
           endedMillis.put(replica.entry().incarnation(), nowMillis);
         }
       }
--- a/library/src/test/java/org/bulrushpier/replica/ColdReplicasPropertyTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ColdReplicasPropertyTest.java
@@ -110,7 +110,7 @@
     /** Sends as many requests as the instance may. */
     void flood(long nowMillis) {
       cold.tick(nowMillis);
-      while (!cold.admitted(LIMIT, List.of(replica), nowMillis).isEmpty()) {
+      while (cold.admits(LIMIT, replica, nowMillis)) {
         cold.begin(LIMIT, replica, nowMillis).sent(nowMillis);
         sent.add(nowMillis);
       }
--- a/library/src/test/java/org/bulrushpier/replica/ColdReplicasTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ColdReplicasTest.java
@@ -48,7 +48,7 @@
 
   private boolean isAdmitted(Replica replica, long nowMillis) {
     cold.tick(nowMillis);
-    return !cold.admitted(LIMIT, List.of(replica), nowMillis).isEmpty();
+    return cold.isIdle(nowMillis) || cold.admits(LIMIT, replica, nowMillis);
   }
 
   private void send(Replica replica, long nowMillis) {
@@ -66,7 +66,7 @@
     Replica replica = coldReplica("r");
     place = Optional.empty();
 
-    assertThat(cold.admitted(ColdLimit.NONE, List.of(replica), NOW)).containsExactly(replica);
+    assertThat(cold.admits(ColdLimit.NONE, replica, NOW)).isTrue();
   }
 
   @Test
@@ -200,7 +200,8 @@
     Replica replica = replica("r");
     place = Optional.of(OTHER);
     long woken = NOW + ColdReplicas.STALL_MILLIS;
-    assertThat(cold.admitted(LIMIT, List.of(replica), woken)).isEmpty();
+    assertThat(cold.isIdle(woken)).isFalse();
+    assertThat(cold.admits(LIMIT, replica, woken)).isFalse();
     assertThat(isAdmitted(replica, woken)).isFalse();
 
     cold.registryRead(false);
--- a/library/src/test/java/org/bulrushpier/replica/ReplicaPacesTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ReplicaPacesTest.java
@@ -122,7 +122,7 @@
   }
 
   private boolean isWithinPace(Instance instance, long nowMillis) {
-    return !instance.paces.admitted(List.of(instance.replica), nowMillis).isEmpty();
+    return instance.paces.admits(instance.replica, nowMillis);
   }
 
   private static boolean isWithinSteps(Instance instance, long nowMillis) {
@@ -258,6 +258,6 @@
     Instance instance = new Instance(0);
     instance.paces.failed(instance.replica, 0);
 
-    assertThat(instance.paces.admitted(List.of(instance.replica), 0)).hasSize(1);
+    assertThat(instance.paces.admits(instance.replica, 0)).isTrue();
   }
 }
