Spread load from many instances: groups that share engines, random plain replicas

Cause: general load reports are sent every 12 ms for each contact, once a second at 83 instances, while requests last 0.1 to 0.5 s. All instances select the engines that were idle in the same old reports, and the prefill rate is learned from requests that were not alone. Change: from 50 live instances on, those of a failure domain form groups of about nine that share a part of its engines and report to each other at most 100 ms after a change. Engines of other groups cost more, and a random amount; a replica of a plain service is chosen at random with a preference for those that looked idle. Smaller sites are served as before. Load reports tell the sender's failure domain.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -8,7 +8,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.bulrushpier.Address;
@@ -18,6 +20,7 @@
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.daemon.net.EventLoop;
 import org.bulrushpier.fleet.FleetMessage;
+import org.bulrushpier.fleet.LoadGroup;
 import org.bulrushpier.fleet.Membership;
 import org.bulrushpier.fleet.PaceReport;
 import org.bulrushpier.fleet.PeerLoads;
@@ -32,7 +35,8 @@
  *
  * <p>Uses datagrams: a report is obsolete after a fraction of a second, so a lost one is not worth
  * a retransmission, and an unreachable instance cannot hold up the others. The interval grows with
- * the number of instances, which bounds the datagrams that each instance handles per second.
+ * the number of instances, which bounds the datagrams that each instance handles per second. At a
+ * large site the few members of a {@link LoadGroup} get reports more often.
  *
  * <p>Thread-safe: datagrams are received on a thread of their own and applied with the loop's lock
  * held; everything else is guarded by that lock.
@@ -46,6 +50,9 @@
   /** The time between two datagrams of this instance, on average, in milliseconds. */
   private static final long MILLIS_PER_CONTACT = 12;
 
+  /** The least time between two reports to the own group, in milliseconds. */
+  private static final long GROUP_INTERVAL_MILLIS = 100;
+
   /** Interval of the exchange of lists, in milliseconds. */
   private static final long MEMBERS_INTERVAL_MILLIS = 1_000;
 
@@ -62,6 +69,7 @@
   private static final int MAX_ASKED = 3;
 
   private final GatewayContext context;
+  private final Address self;
   private final EventLoop loop;
   private final EventLog log;
   private final Membership membership;
@@ -71,12 +79,16 @@
   private final long startMillis = System.currentTimeMillis();
   private long sequence;
   private long lastLoadMillis = Long.MIN_VALUE / 2;
+  private long lastGroupMillis = Long.MIN_VALUE / 2;
   private long lastMembersMillis = Long.MIN_VALUE / 2;
+  private List<UpstreamLoad> reported = List.of();
   private boolean wasIdle;
   private int loggedInstances = 1;
 
-  private FleetExchange(GatewayContext context, Membership membership, DatagramChannel channel) {
+  private FleetExchange(
+      GatewayContext context, Address self, Membership membership, DatagramChannel channel) {
     this.context = context;
+    this.self = self;
     this.loop = context.loop();
     this.log = context.log();
     this.membership = membership;
@@ -96,7 +108,8 @@
     DatagramChannel channel = DatagramChannel.open();
     channel.bind(new InetSocketAddress(address.host(), address.port()));
     FleetExchange exchange =
-        new FleetExchange(context, Membership.of(address, context.settings().seeds()), channel);
+        new FleetExchange(
+            context, address, Membership.of(address, context.settings().seeds()), channel);
     context.poison().turn(exchange::turn);
     context.cold().places(exchange.membership::place);
     context.paces().places(exchange.membership::place);
@@ -124,6 +137,7 @@
   void tick(long nowMillis) {
     peerLoads.expire(nowMillis);
     reportLoad(nowMillis);
+    reportToGroup(nowMillis);
     exchangeMembers(nowMillis);
     askForWeights(nowMillis);
     if (gossip.isDue(context.poison().changes(), nowMillis)) {
@@ -185,6 +199,23 @@
         log.event("fleet", "instances", instances, "before", loggedInstances);
         loggedInstances = instances;
       }
+      updateGroup(instances, nowMillis);
+    }
+  }
+
+  private void updateGroup(int instances, long nowMillis) {
+    String domain = context.settings().domain();
+    Map<String, List<String>> engines = new HashMap<>();
+    for (Replica replica : context.replicas().all()) {
+      if (replica.entry().domain().equals(domain) && !replica.isLeaving()) {
+        engines
+            .computeIfAbsent(replica.entry().service(), service -> new ArrayList<>())
+            .add(replica.entry().id());
+      }
+    }
+    LoadGroup group = context.loadGroup();
+    if (group.update(self, instances, membership.liveInDomain(domain, nowMillis), engines)) {
+      log.event("load-group", "members", group.members().size(), "engines", group.engines());
     }
   }
 
@@ -219,12 +250,7 @@
   }
 
   private void sendLoad(List<Address> contacts, long nowMillis) {
-    List<UpstreamLoad> upstreams = new ArrayList<>();
-    for (Replica replica : context.replicas().all()) {
-      if (replica.ownRequests() > 0 && upstreams.size() < MAX_UPSTREAMS) {
-        upstreams.add(replica.ownLoad());
-      }
-    }
+    List<UpstreamLoad> upstreams = ownLoads();
     boolean isIdle = upstreams.isEmpty();
     if (isIdle && wasIdle && nowMillis - lastLoadMillis < MAX_INTERVAL_MILLIS) {
       return;
@@ -232,12 +258,40 @@
     wasIdle = isIdle;
     lastLoadMillis = nowMillis;
     tellPaces(contacts);
+    sendLoads(upstreams, contacts, nowMillis);
+  }
+
+  /** Tells the own group at once what has changed, as its members share engines. */
+  private void reportToGroup(long nowMillis) {
+    LoadGroup group = context.loadGroup();
+    if (!group.isInForce() || nowMillis - lastGroupMillis < GROUP_INTERVAL_MILLIS) {
+      return;
+    }
+    List<UpstreamLoad> upstreams = ownLoads();
+    if (!upstreams.equals(reported)) {
+      sendLoads(upstreams, group.members(), nowMillis);
+    }
+  }
+
+  private List<UpstreamLoad> ownLoads() {
+    List<UpstreamLoad> upstreams = new ArrayList<>();
+    for (Replica replica : context.replicas().all()) {
+      if (replica.ownRequests() > 0 && upstreams.size() < MAX_UPSTREAMS) {
+        upstreams.add(replica.ownLoad());
+      }
+    }
+    return upstreams;
+  }
+
+  private void sendLoads(
+      List<UpstreamLoad> upstreams, Collection<Address> receivers, long nowMillis) {
+    lastGroupMillis = nowMillis;
+    reported = upstreams;
+    String domain = context.settings().domain();
     byte[] bytes =
         Codec.messagePack()
-            .write(
-                new FleetMessage.Load(
-                    startMillis, ++sequence, upstreams, context.settings().domain()));
-    contacts.forEach(contact -> send(contact, bytes));
+            .write(new FleetMessage.Load(startMillis, ++sequence, upstreams, domain));
+    receivers.forEach(receiver -> send(receiver, bytes));
   }
 
   private void tellPaces(List<Address> contacts) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -180,6 +180,12 @@
             "bulrushpier.fleet.reporting",
             "Other instances whose load is known",
             () -> context.peerLoads().size());
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.fleet.group.engines",
+            "Engines that this instance shares with the other members of its group",
+            () -> context.loadGroup().engines());
     context
         .metrics()
         .gauge(
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -6,11 +6,13 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
+import org.bulrushpier.fleet.LoadGroup;
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.limit.SlidingWindowRetryBudget;
 import org.bulrushpier.placing.CacheStoreState;
@@ -53,6 +55,7 @@
   private final ReplicaClock replicaClock = new ReplicaClock();
   private final PrefillRate prefillRate = new PrefillRate();
   private final PeerLoads peerLoads = new PeerLoads();
+  private final LoadGroup loadGroup = new LoadGroup();
   private final EnginePlacement enginePlacement;
   private final PlainPlacement plainPlacement;
   private final ConnectionPool upstreamPool;
@@ -74,8 +77,10 @@
   GatewayContext(EventLoop loop, Supplier<GatewaySettings> settings) {
     this.loop = loop;
     this.settings = settings;
-    enginePlacement = EnginePlacement.of(settings.get().domain(), prefillRate, peerLoads);
-    plainPlacement = PlainPlacement.of(settings.get().domain(), peerLoads);
+    String domain = settings.get().domain();
+    SplittableRandom random = new SplittableRandom();
+    enginePlacement = EnginePlacement.of(domain, prefillRate, peerLoads, loadGroup, random);
+    plainPlacement = PlainPlacement.of(domain, peerLoads, loadGroup, random);
     upstreamPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     controlPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     client = new ControlClient(loop, controlPool);
@@ -148,6 +153,11 @@
     return peerLoads;
   }
 
+  /** Returns the instances with which this one shares engines at a large site. */
+  LoadGroup loadGroup() {
+    return loadGroup;
+  }
+
   EnginePlacement enginePlacement() {
     return enginePlacement;
   }
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntFunction;
+import java.util.random.RandomGenerator;
 import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.fleet.LoadGroup;
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.WeightPreference;
@@ -22,6 +24,10 @@
  * Instances do not see each other's requests; they agree on a home engine for each session by
  * rendezvous hashing, which decides between engines with nearly the same cost.
  *
+ * <p>At a site with so many instances that load reports are older than requests last, instances
+ * prefer the engines of their {@link LoadGroup}, whose load they know. Among the others they select
+ * at random with a preference for those that looked idle, as all of them have the same old reports.
+ *
  * <p>Not thread-safe; guarded by the lock of the gateway's event loop.
  */
 public final class EnginePlacement {
@@ -73,6 +79,15 @@
    */
   private static final double UNREACHABLE_COST_MILLIS = 2_000;
 
+  /**
+   * The cost of an engine outside the group of this instance, in milliseconds, for what other
+   * instances may have sent there since their last reports.
+   */
+  private static final double OUTSIDE_GROUP_COST_MILLIS = 100;
+
+  /** The mean of the random cost of an engine outside the group, in milliseconds. */
+  private static final double OUTSIDE_GROUP_SPREAD_MILLIS = 100;
+
   /**
    * The delay of the first token caused by each running request, in milliseconds, since decoding
    * slows down with the number of running requests.
@@ -106,16 +121,21 @@
   private final String domain;
   private final PrefillRate rate;
   private final PeerLoads peers;
+  private final LoadGroup group;
+  private final RandomGenerator random;
   private final RequestSizes sizes = new RequestSizes();
 
-  private EnginePlacement(String domain, PrefillRate rate, PeerLoads peers) {
+  private EnginePlacement(
+      String domain, PrefillRate rate, PeerLoads peers, LoadGroup group, RandomGenerator random) {
     this.domain = domain;
     this.rate = rate;
     this.peers = peers;
+    this.group = group;
+    this.random = random;
   }
 
   /**
-   * Creates the placement policy of an instance.
+   * Creates the placement policy of an instance that is in no group.
    *
    * @param domain the failure domain of the instance
    * @param rate the learned prefill rate
@@ -123,7 +143,22 @@
    * @return the policy
    */
   public static EnginePlacement of(String domain, PrefillRate rate, PeerLoads peers) {
-    return new EnginePlacement(domain, rate, peers);
+    return of(domain, rate, peers, new LoadGroup(), RandomGenerator.getDefault());
+  }
+
+  /**
+   * Creates the placement policy of an instance.
+   *
+   * @param domain the failure domain of the instance
+   * @param rate the learned prefill rate
+   * @param peers the load of the other instances
+   * @param group the instances with which this one shares engines
+   * @param random the source of randomness
+   * @return the policy
+   */
+  public static EnginePlacement of(
+      String domain, PrefillRate rate, PeerLoads peers, LoadGroup group, RandomGenerator random) {
+    return new EnginePlacement(domain, rate, peers, group, random);
   }
 
   /**
@@ -155,7 +190,8 @@
       long goalMillis,
       long leftMillis,
       long nowMillis) {
-    String home = home(prompt, engines);
+    boolean isGrouped = group.isInForce();
+    String home = isGrouped ? "" : home(prompt, engines);
     sizes.sampleInFlight(engines);
     Map<Integer, PartSources> sources = new HashMap<>();
     Candidate best = null;
@@ -180,6 +216,7 @@
           millis
               + (engine.isUnreachable(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
               + cacheCost(engine, plan, home)
+              + (isGrouped && !group.hasEngine(engine.entry().id()) ? outsideGroupCost() : 0)
               + weights.penaltyMillis(version);
       if (best == null || cost < best.cost) {
         best = new Candidate(engine, plan, wait, own, millis, cost);
@@ -227,8 +264,14 @@
         isAlone(best.engine));
   }
 
+  private double outsideGroupCost() {
+    return OUTSIDE_GROUP_COST_MILLIS + OUTSIDE_GROUP_SPREAD_MILLIS * random.nextExponential();
+  }
+
+  /** Returns whether no other request is known to wait at an engine whose load is well known. */
   private boolean isAlone(Replica engine) {
-    return engine.pendingPrefillTokens() == 0
+    return (!group.isInForce() || group.hasEngine(engine.entry().id()))
+        && engine.pendingPrefillTokens() == 0
         && engine.transferMillis() == 0
         && peers.at(engine.entry().id(), Integer.MAX_VALUE).pendingTokens() == 0;
   }
--- a/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.bulrushpier.fleet.LoadGroup;
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.replica.Replica;
 
@@ -11,7 +13,8 @@
  *
  * <p>Designed for short requests to few replicas with few slots, where a replica that has stopped
  * answering must not attract further requests before its circuit breaker has counted enough
- * failures to open.
+ * failures to open. At a site with so many instances that all of them send to the replica that
+ * looked idle in an old report, the choice is random with a preference for such replicas.
  *
  * <p>Not thread-safe; guarded by the lock of the gateway's event loop.
  */
@@ -35,25 +38,49 @@
    */
   private static final double FAILURE_COST_SLOTS = 20;
 
+  /**
+   * The mean of the random load that is added at a large site, in requests. It stands for what
+   * other instances have sent since their last reports.
+   */
+  private static final double UNREPORTED_REQUESTS = 6;
+
   private static final long RETRY_MILLIS = 100;
 
   private final String domain;
   private final PeerLoads peers;
+  private final LoadGroup group;
+  private final RandomGenerator random;
 
-  private PlainPlacement(String domain, PeerLoads peers) {
+  private PlainPlacement(String domain, PeerLoads peers, LoadGroup group, RandomGenerator random) {
     this.domain = domain;
     this.peers = peers;
+    this.group = group;
+    this.random = random;
   }
 
   /**
-   * Creates the placement policy of an instance.
+   * Creates the placement policy of an instance at a site with few instances.
    *
    * @param domain the failure domain of the instance
    * @param peers the load of the other instances
    * @return the policy
    */
   public static PlainPlacement of(String domain, PeerLoads peers) {
-    return new PlainPlacement(domain, peers);
+    return of(domain, peers, new LoadGroup(), RandomGenerator.getDefault());
+  }
+
+  /**
+   * Creates the placement policy of an instance.
+   *
+   * @param domain the failure domain of the instance
+   * @param peers the load of the other instances
+   * @param group tells whether the site is large
+   * @param random the source of randomness
+   * @return the policy
+   */
+  public static PlainPlacement of(
+      String domain, PeerLoads peers, LoadGroup group, RandomGenerator random) {
+    return new PlainPlacement(domain, peers, group, random);
   }
 
   /**
@@ -82,6 +109,9 @@
       if (!replica.entry().domain().equals(domain)) {
         load += CROSSING_COST_SLOTS;
       }
+      if (group.isLargeSite()) {
+        load += UNREPORTED_REQUESTS * random.nextExponential();
+      }
       double duration = replica.workDurationFactor(nowMillis);
       double cost = (load * duration + duration - 1) / Math.max(1, replica.entry().slots());
       if (cost < bestCost) {
--- a/library/src/test/java/org/bulrushpier/placing/EngineSimulation.java
+++ b/library/src/test/java/org/bulrushpier/placing/EngineSimulation.java
@@ -24,6 +24,7 @@
 
   private final long memoryTokens;
   private final int slots;
+  private final double prefillTokensPerMilli;
   private final Map<String, Integer> cache = new LinkedHashMap<>(64, 0.75f, true);
   private final List<Run> waiting = new ArrayList<>();
   private final List<Run> running = new ArrayList<>();
@@ -62,8 +63,13 @@
   }
 
   EngineSimulation(long memoryTokens, int slots) {
+    this(memoryTokens, slots, PREFILL_TOKENS_PER_MILLI);
+  }
+
+  EngineSimulation(long memoryTokens, int slots, double prefillTokensPerMilli) {
     this.memoryTokens = memoryTokens;
     this.slots = slots;
+    this.prefillTokensPerMilli = prefillTokensPerMilli;
   }
 
   void submit(Run run) {
@@ -152,7 +158,7 @@
     clockMillis +=
         STEP_MILLIS
             + running.size() * STEP_MILLIS_PER_REQUEST
-            + (CHUNK_TOKENS - chunk) / PREFILL_TOKENS_PER_MILLI;
+            + (CHUNK_TOKENS - chunk) / prefillTokensPerMilli;
     for (Run run : ended) {
       running.remove(run);
       for (PromptPart part : run.parts) {
--- a/library/src/test/java/org/bulrushpier/placing/Engines.java
+++ b/library/src/test/java/org/bulrushpier/placing/Engines.java
@@ -20,6 +20,10 @@
   private Engines() {}
 
   static Replica engine(String id, String domain) {
+    return engine(id, domain, 48);
+  }
+
+  static Replica engine(String id, String domain, int slots) {
     ReplicaTable table = new ReplicaTable();
     table.put(
         new ReplicaEntry(
@@ -27,7 +31,7 @@
             "engines",
             new Address("10.0.0.1", ++lastPort),
             domain,
-            48,
+            slots,
             false,
             1,
             Map.of("m", 1),
