The soak learns evacuations

Faults: domains are evacuated beside all other faults, also both and while the store is away. The observer checks from the replicas' side, by the arrival of each execution, that none comes later than the bound from an instance that is in contact. Replicas of the soak now are in two failure domains.

--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -162,9 +162,16 @@
    * @param target the path and query
    * @param headers the header fields by lower-case name
    * @param body the body
+   * @param arrivedMillis the monotonic time at which the request arrived, before it waited for a
+   *     slot, in milliseconds
    */
   public record Execution(
-      String replica, int version, String target, Map<String, String> headers, String body) {
+      String replica,
+      int version,
+      String target,
+      Map<String, String> headers,
+      String body,
+      long arrivedMillis) {
 
     /** Returns the id that the caller gave the request. */
     public String requestId() {
@@ -544,14 +551,15 @@
   }
 
   private boolean call(RawHttpServer.Request request, Socket socket) throws IOException {
+    final long arrivedMillis = MonotonicClock.millis();
     if (!request.headers().containsKey("model")) {
-      return execute(request, socket);
+      return execute(request, socket, arrivedMillis);
     }
     if (!awaitSlot(socket)) {
       return false;
     }
     try {
-      return execute(request, socket);
+      return execute(request, socket, arrivedMillis);
     } finally {
       synchronized (this) {
         running--;
@@ -585,7 +593,8 @@
     }
   }
 
-  private boolean execute(RawHttpServer.Request request, Socket socket) throws IOException {
+  private boolean execute(RawHttpServer.Request request, Socket socket, long arrivedMillis)
+      throws IOException {
     Behaviour current;
     Execution execution = null;
     boolean isMisdirected;
@@ -606,7 +615,9 @@
         refusals.put(socket, refusal(request, current));
       }
       if (!isMisdirected && !isRefused) {
-        execution = new Execution(id, version, request.target(), request.headers(), request.body());
+        execution =
+            new Execution(
+                id, version, request.target(), request.headers(), request.body(), arrivedMillis);
         executions.add(execution);
         listener.accept(execution);
         raw = script.response(execution, request.isFirst());
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
@@ -15,6 +15,9 @@
   /** An operator stores another version of the configuration. */
   record Configure(long timeoutMillis, long idleTimeoutMillis) implements Fault {}
 
+  /** An operator evacuates a failure domain for some time, also while the store is away. */
+  record Evacuate(String domain, long millis) implements Fault {}
+
   /** Other software writes an entry among those of the replicas and removes it later. */
   record WriteForeignEntry(String entry, long millis) implements Fault {}
 
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Instance.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Instance.java
@@ -228,8 +228,16 @@
    * Returns whether a process has been ready, not stopped and able to reach the store for the
    * contact time.
    */
-  synchronized boolean isInContact(Run process) {
-    long since = MonotonicClock.millis() - CONTACT_MILLIS;
+  boolean isInContact(Run process) {
+    return isInContact(process, MonotonicClock.millis());
+  }
+
+  /**
+   * Returns whether a process had been ready, not stopped and able to reach the store for the
+   * contact time at a moment that has passed, and has been since.
+   */
+  synchronized boolean isInContact(Run process, long atMillis) {
+    long since = atMillis - CONTACT_MILLIS;
     return run == process
         && process.readyMillis <= since
         && pauses == 0
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -39,6 +39,8 @@
   /** The part of the idle timeout for which callers use a connection again. */
   private static final double REUSED_SHARE = 0.8;
 
+  private static final String UNKNOWN_DOMAIN = "";
+
   /** The crashes under a prompt part after which all instances have to know of it. */
   private static final int KNOWN_CRASHES = 5;
 
@@ -72,6 +74,8 @@
     ROUTE,
     /** A replica that leaves gets no more calls. */
     LEFT,
+    /** Replicas of a failure domain that is evacuated get no calls. */
+    EVACUATION,
     /** Calls with a prompt part under which engines have crashed reach no more engines. */
     POISON,
     /** After all faults, every engine serves the newest version and calls are answered. */
@@ -83,6 +87,8 @@
   private final Map<Integer, Long> requestedMillis = new ConcurrentHashMap<>();
   private final Map<String, Long> faultyUntilMillis = new ConcurrentHashMap<>();
   private final Map<String, Boolean> engines = new ConcurrentHashMap<>();
+  private final Map<String, String> domains = new ConcurrentHashMap<>();
+  private final Map<String, Long> evacuatedMillis = new ConcurrentHashMap<>();
   private final Map<String, Long> leftMillis = new ConcurrentHashMap<>();
   private final Map<String, PoisonRecord> poisons = new ConcurrentHashMap<>();
   private final List<StoredConfiguration> configurations = new CopyOnWriteArrayList<>();
@@ -211,9 +217,23 @@
     return (long) (REUSED_SHARE * limit);
   }
 
-  /** Records whether a replica is an engine; calls at replicas that are not known may be any. */
-  void replicaServes(String replica, boolean isEngine) {
+  /**
+   * Records whether a replica is an engine and its failure domain; calls at replicas that are not
+   * known may be any.
+   */
+  void replicaServes(String replica, boolean isEngine, String domain) {
     engines.put(replica, isEngine);
+    domains.put(replica, domain);
+  }
+
+  /** Records that the store acknowledged the evacuation of a failure domain. */
+  void evacuated(String domain) {
+    evacuatedMillis.put(domain, MonotonicClock.millis());
+  }
+
+  /** Records that an evacuation is about to be withdrawn. */
+  void evacuationWithdrawn(String domain) {
+    evacuatedMillis.remove(domain);
   }
 
   /** Records that the store acknowledged that a replica leaves. */
@@ -261,6 +281,7 @@
         checkVersion(record, execution, text);
       }
       checkLeft(record, execution, text);
+      checkEvacuation(record, execution, text);
       checkPoison(record, text);
     }
   }
@@ -310,6 +331,25 @@
     }
   }
 
+  private void checkEvacuation(CallRecord record, Execution execution, String text) {
+    Long evacuated = evacuatedMillis.get(domains.getOrDefault(execution.replica(), UNKNOWN_DOMAIN));
+    if (evacuated == null || execution.arrivedMillis() < evacuated) {
+      return;
+    }
+    count("atEvacuated");
+    long millis = execution.arrivedMillis() - evacuated;
+    if (millis > SoakSite.EVACUATION_MILLIS) {
+      count("atEvacuatedTooLong");
+      if (record.instance.isInContact(record.run, execution.arrivedMillis())
+          && !wasStalledSince(evacuated)) {
+        violated(
+            Promise.EVACUATION,
+            "%s, whose domain was evacuated %d ms before; %s"
+                .formatted(text, millis, record.instance.contact(record.run)));
+      }
+    }
+  }
+
   private void checkLeft(CallRecord record, Execution execution, String text) {
     Long left = leftMillis.get(execution.replica());
     if (left != null
@@ -455,9 +495,10 @@
 
   /**
    * Returns the number of executions; of generations that started on outdated weights, also those
-   * that did so too late at instances out of contact; of calls in progress at SIGTERM that got a
-   * whole answer; of stalls of this process and checks left out because of them; and of answers
-   * that were whole or cut off, by status, 0 being none.
+   * that did so too late at instances out of contact; of executions in evacuated domains, those
+   * that came too late likewise; of calls in progress at SIGTERM that got a whole answer; of stalls
+   * of this process and checks left out because of them; and of answers that were whole or cut off,
+   * by status, 0 being none.
    */
   Map<String, Integer> counts() {
     synchronized (counts) {
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -76,6 +76,7 @@
       }
       poisons();
       strains();
+      evacuations();
       entries.removeIf(entry -> entry.atMillis() >= endMillis);
       entries.sort(Comparator.comparingLong(Entry::atMillis));
       return new Schedule(List.copyOf(entries));
@@ -132,6 +133,16 @@
       }
     }
 
+    /** Evacuations of one failure domain or of both, beside the other faults. */
+    private void evacuations() {
+      millis = FIRST_MILLIS;
+      while (millis < endMillis) {
+        millis += between(3_000, 12_000);
+        String domain = SoakSite.DOMAINS.get(random.nextInt(SoakSite.DOMAINS.size()));
+        add(0, new Fault.Evacuate(domain, between(1_000, 9_000)));
+      }
+    }
+
     private long between(long low, long high) {
       return low + random.nextLong(high - low);
     }
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -54,6 +54,12 @@
   /** The time that an instance has from SIGTERM to its end, in seconds. */
   static final int SHUTDOWN_SECONDS = 8;
 
+  /** The time within which an evacuation must be in force, in milliseconds. */
+  static final long EVACUATION_MILLIS = 4_000;
+
+  /** The failure domains of instances and replicas. */
+  static final List<String> DOMAINS = List.of("norte", "sur");
+
   /** How long an engine that crashed is away, in milliseconds. */
   private static final long AWAY_MILLIS = 2_000;
 
@@ -76,6 +82,7 @@
   private final AtomicInteger foreignEntries = new AtomicInteger();
   private final AtomicInteger longBodySeries = new AtomicInteger();
   private final AtomicInteger poisons = new AtomicInteger();
+  private final Set<String> evacuated = ConcurrentHashMap.newKeySet();
   private final AtomicBoolean isPoisoned = new AtomicBoolean();
   private int configuration;
   private int version = 1;
@@ -95,8 +102,10 @@
     site.configure(TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
     for (int i = 0; i < REPLICAS; i++) {
       String id = i < ENGINES ? "engine-" + i : "plain-" + i;
-      observer.replicaServes(id, i < ENGINES);
+      String domain = DOMAINS.get(i % DOMAINS.size());
+      observer.replicaServes(id, i < ENGINES, domain);
       ReplicaFake replica = ReplicaFake.start(id, SLOTS, observer::executionStarts);
+      replica.setDomain(domain);
       replica.setPace(PACE);
       site.replicas.add(replica);
     }
@@ -146,10 +155,11 @@
           retry-minimum = 80
           order-lease-ms = 1000
           weights-change-ms = %d
+          evacuation-ms = %d
           """
               .formatted(
                   name,
-                  i % 2 == 0 ? "norte" : "sur",
+                  DOMAINS.get(i % DOMAINS.size()),
                   free.get(0),
                   free.get(1),
                   free.get(2),
@@ -157,7 +167,8 @@
                   new Address(net + i, fleetPort),
                   seeds,
                   SHUTDOWN_SECONDS,
-                  CHANGE_MILLIS));
+                  CHANGE_MILLIS,
+                  EVACUATION_MILLIS));
       String command = "org.bulrushpier.daemon.Main gateway --settings " + settings;
       Instance instance = new Instance(launcher, name, command, free.get(0), free.get(1), link);
       instances.add(instance);
@@ -232,6 +243,7 @@
     switch (fault) {
       case Fault.RequestVersion request -> requestVersion();
       case Fault.Configure f -> configure(f.timeoutMillis(), f.idleTimeoutMillis());
+      case Fault.Evacuate f -> evacuate(f);
       case Fault.ReplaceEntry f -> replaceEntry(f);
       case Fault.WriteForeignEntry f -> {
         String name = "a-foreign-" + foreignEntries.incrementAndGet();
@@ -281,6 +293,22 @@
     }
   }
 
+  private void evacuate(Fault.Evacuate fault) {
+    if (!evacuated.add(fault.domain())) {
+      return;
+    }
+    try {
+      store.put(StoreFormat.EVACUATIONS, fault.domain(), "{}");
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    observer.evacuated(fault.domain());
+    Faults.sleep(fault.millis());
+    observer.evacuationWithdrawn(fault.domain());
+    store.remove(StoreFormat.EVACUATIONS, fault.domain());
+    evacuated.remove(fault.domain());
+  }
+
   /** Writes an entry that names the other service but lacks a field. The replica renews its own. */
   private void replaceEntry(Fault.ReplaceEntry fault) {
     ReplicaFake replica = replicas.get(fault.replica());
--- a/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
@@ -24,8 +24,13 @@
   }
 
   private void execute(String customer) {
+    execute(customer, MonotonicClock.millis());
+  }
+
+  private void execute(String customer, long arrivedMillis) {
     observer.executionStarts(
-        new Execution("r1", 1, "/", Map.of("attempt-id", "c1", "tenant", customer), ""));
+        new Execution(
+            "r1", 1, "/", Map.of("attempt-id", "c1", "tenant", customer), "", arrivedMillis));
   }
 
   private static Answer answer(int status, String body) {
@@ -52,7 +57,7 @@
 
   @Test
   void executionByReplicaOfAnotherServiceIsFound() {
-    observer.replicaServes("r1", true);
+    observer.replicaServes("r1", true, "norte");
     begin(Route.STREAM);
     execute("ate");
     assertThat(observer.violations()).isEmpty();
@@ -63,6 +68,30 @@
     assertViolated(Promise.ROUTE);
   }
 
+  /** The instance is not in contact, so that what comes late is counted but violates nothing. */
+  @Test
+  void executionInAnEvacuatedDomainIsCountedFromItsArrivalUntilTheWithdrawal() {
+    observer.replicaServes("r1", true, "norte");
+    begin(Route.STREAM);
+    observer.evacuated("sur");
+    execute("ate");
+    assertThat(observer.counts()).doesNotContainKey("atEvacuated");
+
+    observer.evacuated("norte");
+    long now = MonotonicClock.millis();
+    execute("ate", now - 1_000);
+    assertThat(observer.counts()).doesNotContainKey("atEvacuated");
+    execute("ate", now + 1_000);
+    execute("ate", now + SoakSite.EVACUATION_MILLIS + 1_000);
+    observer.evacuationWithdrawn("norte");
+    execute("ate", now + SoakSite.EVACUATION_MILLIS + 1_000);
+
+    assertThat(observer.counts())
+        .containsEntry("atEvacuated", 2)
+        .containsEntry("atEvacuatedTooLong", 1);
+    assertThat(observer.violations()).isEmpty();
+  }
+
   @Test
   void secondExecutionIsFound() {
     begin(Route.ONCE);
