--- a/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -219,6 +219,28 @@
     metadataStore.put("versions", "m0", "{\"model\":\"m0\",\"version\":%d}".formatted(version));
   }
 
+  /** Configures that a cold engine bears so many requests a second. */
+  void configureColdEngines(int perSecond) throws IOException {
+    metadataStore.put(
+        "config",
+        "main",
+        CONFIGURATION
+            .replace("\"version\":1,\"routes\"", "\"version\":2,\"routes\"")
+            .replace(
+                "\"max_conns\":50", "\"max_conns\":50,\"cold_s\":2.0,\"cold_per_s\":" + perSecond));
+  }
+
+  /** Registers an engine as another incarnation that is cold for some time. */
+  void registerCold(ReplicaFake engine, long coldMillis) throws IOException {
+    engine.beginIncarnation();
+    metadataStore.put(
+        "servers",
+        engine.id(),
+        engine
+            .entry("engines", "ready")
+            .replace("\"cold_left_ms\":0", "\"cold_left_ms\":" + coldMillis));
+  }
+
   /** Returns the number of requests that the engines have executed. */
   int executed() {
     return engines.stream().mapToInt(engine -> engine.executions().size()).sum();
