The pace of a replica refuses nobody, and counts no late answers while its neighbours are late

Cause: in a crest with many restarted replicas, requests that no other replica could take were refused although the paced ones had room, and answers that were late everywhere shrank their windows.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/PaceGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/PaceGuard.java
@@ -104,7 +104,7 @@
       paces.beginOwn(replica, "answers again", nowMillis);
       logBegin(replica, "answers again", nowMillis);
     }
-    if (paces.isEmpty() || response.isMisdirected()) {
+    if (response.isMisdirected() || !isPaced(replica)) {
       return;
     }
     if (response.isRefusal() || response.isServerError()) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -98,13 +98,24 @@
     }
     Optional<Service> target =
         context.configuration().configuration().flatMap(c -> c.service(service));
-    Placement placement =
-        target.isPresent() && target.get() instanceof Service.Engines engines
-            ? placeOnEngine(engines, usable, excluded, remaining, now)
-            : context.plainPlacement().choose(usable, excluded, now);
+    Placement placement = place(target, usable, excluded, remaining, now);
+    if (!(placement instanceof Placement.Send) && !candidates.starting().isEmpty()) {
+      placement = place(target, candidates.usableOrStarting(), excluded, remaining, now);
+    }
     return candidates.orWait(placement, excluded);
   }
 
+  private Placement place(
+      Optional<Service> target,
+      List<Replica> replicas,
+      Set<String> excluded,
+      long remaining,
+      long now) {
+    return target.isPresent() && target.get() instanceof Service.Engines engines
+        ? placeOnEngine(engines, replicas, excluded, remaining, now)
+        : context.plainPlacement().choose(replicas, excluded, now);
+  }
+
   private Candidates candidates(long now) {
     Candidates candidates =
         Candidates.of(context.replicas().replicasOf(service), replica -> exclusion(replica, now));
--- a/library/src/main/java/org/bulrushpier/placing/Candidates.java
+++ b/library/src/main/java/org/bulrushpier/placing/Candidates.java
@@ -17,9 +17,11 @@
  * <p>Immutable and thread-safe, except for the replicas.
  *
  * @param usable the replicas that may get the request
+ * @param starting those that have just started, which get it only if no usable one can take it
  * @param excluded the number of the other replicas by the first reason that applies
  */
-public record Candidates(List<Replica> usable, Map<Exclusion, Integer> excluded) {
+public record Candidates(
+    List<Replica> usable, List<Replica> starting, Map<Exclusion, Integer> excluded) {
 
   /**
    * Retry delay while operators let no replica take a request, in milliseconds. They change their
@@ -30,6 +32,7 @@
   /** Copies the collections. */
   public Candidates {
     usable = List.copyOf(usable);
+    starting = List.copyOf(starting);
     excluded = Map.copyOf(excluded);
   }
 
@@ -43,6 +46,7 @@
   public static Candidates of(
       List<Replica> replicas, Function<Replica, Optional<Exclusion>> exclusion) {
     List<Replica> usable = new ArrayList<>();
+    List<Replica> starting = new ArrayList<>();
     Map<Exclusion, Integer> excluded = new EnumMap<>(Exclusion.class);
     for (Replica replica : replicas) {
       Optional<Exclusion> reason = exclusion.apply(replica);
@@ -50,9 +54,12 @@
         usable.add(replica);
       } else {
         excluded.merge(reason.get(), 1, Integer::sum);
+        if (reason.get() == Exclusion.STARTING) {
+          starting.add(replica);
+        }
       }
     }
-    return new Candidates(usable, excluded);
+    return new Candidates(usable, starting, excluded);
   }
 
   /** Returns whether a replica is excluded because it is cold or has just started. */
@@ -60,19 +67,29 @@
     return excluded.containsKey(Exclusion.COLD) || excluded.containsKey(Exclusion.STARTING);
   }
 
+  /** Returns the usable replicas and those that have just started. */
+  public List<Replica> usableOrStarting() {
+    List<Replica> all = new ArrayList<>(usable);
+    all.addAll(starting);
+    return all;
+  }
+
   /**
-   * Lets a request wait that would be refused only because the replicas that could take it are cold
-   * or have just started.
+   * Lets a request wait that would be refused only because the replicas that could take it are
+   * cold.
    *
-   * @param placement the placement among the usable replicas
+   * @param placement the placement among the other replicas
    * @param excludedIds the ids of replicas that must not be selected for the request
    * @return the placement, or a wait in place of a refusal
    */
   public Placement orWait(Placement placement, Set<String> excludedIds) {
     boolean isAnyLeft =
-        usable.stream().anyMatch(replica -> !excludedIds.contains(replica.entry().id()));
-    return placement instanceof Placement.Refuse && isAnyLimited() && !isAnyLeft
-        ? new Placement.Wait("the replicas that could take it are cold or have just started")
+        usableOrStarting().stream()
+            .anyMatch(replica -> !excludedIds.contains(replica.entry().id()));
+    return placement instanceof Placement.Refuse
+            && excluded.containsKey(Exclusion.COLD)
+            && !isAnyLeft
+        ? new Placement.Wait("the replicas that could take it are cold")
         : placement;
   }
 
--- a/library/src/main/java/org/bulrushpier/replica/Exclusion.java
+++ b/library/src/main/java/org/bulrushpier/replica/Exclusion.java
@@ -21,7 +21,10 @@
   BREAKER_OPEN("failing"),
   /** The replica is cold, and this instance may send it no more requests for now. */
   COLD("cold"),
-  /** The replica has just started or recovered, and has as many requests as it is known to bear. */
+  /**
+   * The replica has just started or recovered, and has as many requests as it is known to bear. It
+   * gets more only if no other one can take them.
+   */
   STARTING("just started");
 
   private final String description;
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaPaces.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaPaces.java
@@ -33,6 +33,9 @@
   /** The share of its latency objective by which an answer may exceed its prediction. */
   private static final double TOLERATED_GOAL_SHARE = 0.25;
 
+  /** The share of late answers of the neighbours from which on lateness proves nothing. */
+  private static final double LATE_NEIGHBOURS_SHARE = 0.25;
+
   /** How long a place is used, in milliseconds, as to compute it takes many hashes. */
   private static final long PLACE_MILLIS = 500;
 
@@ -51,6 +54,7 @@
 
   private final ColdReplicas.PlaceSource places;
   private final Map<Replica, Paced> paced = new LinkedHashMap<>();
+  private final Map<String, FailureShare> lateNeighbours = new HashMap<>();
   private final Map<String, Long> endedMillis = new HashMap<>();
 
   private ReplicaPaces(ColdReplicas.PlaceSource places) {
@@ -164,7 +168,8 @@
   }
 
   /**
-   * Records the beginning of an answer.
+   * Records the beginning of an answer of any replica. A late one proves nothing while answers of
+   * other replicas of the service are late as well.
    *
    * @param replica the replica
    * @param elapsedMillis the time since the request was sent, in milliseconds
@@ -174,14 +179,16 @@
    */
   public void answered(
       Replica replica, long elapsedMillis, long expectedMillis, long goalMillis, long nowMillis) {
+    double tolerated = expectedMillis + goalMillis * TOLERATED_GOAL_SHARE;
+    boolean isLate = elapsedMillis > Math.max(expectedMillis * TOLERANCE, tolerated);
+    FailureShare neighbours =
+        lateNeighbours.computeIfAbsent(replica.entry().service(), name -> new FailureShare());
     Paced state = paced.get(replica);
     if (state == null) {
-      return;
-    }
-    double tolerated = expectedMillis + goalMillis * TOLERATED_GOAL_SHARE;
-    if (elapsedMillis <= Math.max(expectedMillis * TOLERANCE, tolerated)) {
+      neighbours.add(isLate, nowMillis);
+    } else if (!isLate) {
       state.pace.answeredInTime(nowMillis);
-    } else {
+    } else if (neighbours.share(nowMillis) < LATE_NEIGHBOURS_SHARE) {
       state.pace.answeredLate(nowMillis);
     }
   }
--- a/library/src/test/java/org/bulrushpier/replica/ReplicaPacesTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ReplicaPacesTest.java
@@ -260,4 +260,23 @@
 
     assertThat(instance.paces.admits(instance.replica, 0)).isTrue();
   }
+
+  /** In a crest all replicas answer late; windows that shrink then refuse what could be served. */
+  @Test
+  void lateAnswersProveNothingWhileNeighboursAreLateToo() {
+    Instance instance = new Instance(0);
+    Replica neighbour = new Instance(1).replica;
+    instance.paces.beginJoint(instance.replica, "started", 0);
+    for (int i = 0; i < 20; i++) {
+      instance.paces.answered(neighbour, 2_000, 300, GOAL_MILLIS, 100);
+    }
+    instance.paces.answered(instance.replica, 2_000, 300, GOAL_MILLIS, 100);
+    assertThat(instance.paces.window(instance.replica, 100)).isEqualTo(Pace.START_WINDOW);
+
+    for (int i = 0; i < 40; i++) {
+      instance.paces.answered(neighbour, 200, 300, GOAL_MILLIS, 200);
+    }
+    instance.paces.answered(instance.replica, 2_000, 300, GOAL_MILLIS, 200);
+    assertThat(instance.paces.window(instance.replica, 200)).isEqualTo(Pace.START_WINDOW / 2);
+  }
 }
