Report load to all instances every 4 ms for each contact, 12 ms with groups

Cause: at 26 instances a general report came every 300 ms. Several instances send long prompts to the engine that had the least to read then, and urgent requests wait behind their chunks. Change: an instance that is in no group reports every 4 ms for each contact, between 100 ms and 1 s; in a group 12 ms as before, since the group is told at once.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -43,16 +43,6 @@
  */
 final class FleetExchange {
 
-  private static final long MIN_INTERVAL_MILLIS = 100;
-
-  private static final long MAX_INTERVAL_MILLIS = 1_000;
-
-  /** The time between two datagrams of this instance, on average, in milliseconds. */
-  private static final long MILLIS_PER_CONTACT = 12;
-
-  /** The least time between two reports to the own group, in milliseconds. */
-  private static final long GROUP_INTERVAL_MILLIS = 100;
-
   /** Interval of the exchange of lists, in milliseconds. */
   private static final long MEMBERS_INTERVAL_MILLIS = 1_000;
 
@@ -172,11 +162,11 @@
 
   private void reportLoad(long nowMillis) {
     long sinceLast = nowMillis - lastLoadMillis;
-    if (sinceLast < MIN_INTERVAL_MILLIS) {
+    if (sinceLast < LoadGroup.MIN_INTERVAL_MILLIS) {
       return;
     }
     List<Address> contacts = membership.contacts(nowMillis);
-    if (sinceLast >= Math.min(contacts.size() * MILLIS_PER_CONTACT, MAX_INTERVAL_MILLIS)) {
+    if (sinceLast >= context.loadGroup().generalIntervalMillis(contacts.size())) {
       sendLoad(contacts, nowMillis);
     }
   }
@@ -252,7 +242,7 @@
   private void sendLoad(List<Address> contacts, long nowMillis) {
     List<UpstreamLoad> upstreams = ownLoads();
     boolean isIdle = upstreams.isEmpty();
-    if (isIdle && wasIdle && nowMillis - lastLoadMillis < MAX_INTERVAL_MILLIS) {
+    if (isIdle && wasIdle && nowMillis - lastLoadMillis < LoadGroup.MAX_INTERVAL_MILLIS) {
       return;
     }
     wasIdle = isIdle;
@@ -264,7 +254,7 @@
   /** Tells the own group at once what has changed, as its members share engines. */
   private void reportToGroup(long nowMillis) {
     LoadGroup group = context.loadGroup();
-    if (!group.isInForce() || nowMillis - lastGroupMillis < GROUP_INTERVAL_MILLIS) {
+    if (!group.isInForce() || nowMillis - lastGroupMillis < LoadGroup.MIN_INTERVAL_MILLIS) {
       return;
     }
     List<UpstreamLoad> upstreams = ownLoads();
--- a/library/src/main/java/org/bulrushpier/fleet/LoadGroup.java
+++ b/library/src/main/java/org/bulrushpier/fleet/LoadGroup.java
@@ -30,6 +30,21 @@
   /** The number of instances in a group, which bounds the reports that each of them handles. */
   static final int SIZE = 9;
 
+  /** The least time between two reports of an instance, in milliseconds. */
+  public static final long MIN_INTERVAL_MILLIS = 100;
+
+  /** The longest time between two reports to all other instances, in milliseconds. */
+  public static final long MAX_INTERVAL_MILLIS = 1_000;
+
+  /**
+   * The mean time between two datagrams to other instances, in milliseconds. It bounds the effort
+   * of an instance, which handles as many datagrams as it sends.
+   */
+  private static final long MILLIS_PER_CONTACT = 4;
+
+  /** The same for an instance in a group, which tells its load to the group more often. */
+  private static final long GROUPED_MILLIS_PER_CONTACT = 12;
+
   private final Set<Address> members = new HashSet<>();
   private final Set<String> replicas = new HashSet<>();
   private boolean isLargeSite;
@@ -81,6 +96,17 @@
     return (int) ((long) index * groups / size);
   }
 
+  /**
+   * Returns the time between two reports to all other instances.
+   *
+   * @param contacts the number of other instances
+   * @return the interval in milliseconds
+   */
+  public long generalIntervalMillis(int contacts) {
+    long perContact = isInForce() ? GROUPED_MILLIS_PER_CONTACT : MILLIS_PER_CONTACT;
+    return Math.clamp(contacts * perContact, MIN_INTERVAL_MILLIS, MAX_INTERVAL_MILLIS);
+  }
+
   /** Returns whether the site is so large that general reports are older than requests last. */
   public boolean isLargeSite() {
     return isLargeSite;
--- a/library/src/test/java/org/bulrushpier/fleet/LoadGroupTest.java
+++ b/library/src/test/java/org/bulrushpier/fleet/LoadGroupTest.java
@@ -68,6 +68,17 @@
     assertThat(group.isInForce()).isFalse();
   }
 
+  /** At 26 instances reports every 300 ms were older than the queue of an engine is long. */
+  @Test
+  void reportsOfMiddlingSiteAreAsFrequentAsThoseOfSmallSite() {
+    LoadGroup group = new LoadGroup();
+
+    assertThat(group.generalIntervalMillis(3)).isEqualTo(100);
+    assertThat(group.generalIntervalMillis(25)).isEqualTo(100);
+    assertThat(group.generalIntervalMillis(40)).isBetween(150L, 200L);
+    assertThat(group.generalIntervalMillis(1_000)).isEqualTo(1_000);
+  }
+
   /** All instances derive the same division; each engine belongs to exactly one group. */
   @Property(tries = 200)
   void groupsDivideInstancesAndEngines(
