Tell for each priority whether the queue for an engine stands

Cause: once any requests had waited for a second, the permitted wait of all shrank to a quarter of their objective, also of urgent ones that wait behind nobody. Change: less urgent requests that wait don't count for a more urgent one, neither for its permitted wait nor for the delay after which it may return.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -271,7 +271,10 @@
         reason,
         queue()
             .retryDelayMillis(
-                route.goalMillis(), MonotonicClock.millis(), ThreadLocalRandom.current()));
+                selection.priority(),
+                route.goalMillis(),
+                MonotonicClock.millis(),
+                ThreadLocalRandom.current()));
   }
 
   private void leaveQueue() {
--- a/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
@@ -20,7 +21,8 @@
  * then needs more work than before. If the load does not fall, a queue only adds delay. Once the
  * queue has not been empty for {@value #STANDING_MILLIS} ms, the permitted wait therefore shrinks
  * (controlled delay), and requests that exceed it are refused. A new request whose turn, at the
- * rate of the last placements, comes after its permitted wait is not to be added.
+ * rate of the last placements, comes after its permitted wait is not to be added. Less urgent
+ * requests that wait do not count for a more urgent one.
  *
  * <p>Invariant: requests leave in order of priority and, within a priority, of arrival. Not
  * thread-safe; guarded by the lock of the gateway's event loop.
@@ -52,9 +54,26 @@
           Comparator.comparingInt((Entry<T> entry) -> entry.priority)
               .thenComparingLong(entry -> entry.sequence));
   private final Map<Integer, ArrayDeque<Long>> placedMillis = new HashMap<>();
+  private final Map<Integer, Occupancy> occupancies = new TreeMap<>();
   private long nextSequence;
-  private long nonEmptySinceMillis;
-  private long lastNonEmptyMillis = Long.MIN_VALUE / 2;
+
+  /**
+   * For how long requests of some priority, or more urgent ones, have been waiting. Less urgent
+   * ones don't count, as they delay nobody.
+   */
+  private static final class Occupancy {
+    private long sinceMillis;
+    private long lastMillis = Long.MIN_VALUE / 2;
+
+    Occupancy(long sinceMillis) {
+      this.sinceMillis = sinceMillis;
+    }
+
+    boolean isStanding(boolean isOccupied, long nowMillis) {
+      long untilMillis = isOccupied ? nowMillis : lastMillis;
+      return nowMillis - untilMillis <= EMPTY_MILLIS && untilMillis - sinceMillis > STANDING_MILLIS;
+    }
+  }
 
   /**
    * Checks whether a new request has to wait behind others.
@@ -78,7 +97,7 @@
    */
   public boolean isFull(int priority, long goalMillis, long nowMillis) {
     long ahead = entries.stream().filter(entry -> entry.priority == priority).count();
-    if (ahead == 0 || !isStanding(nowMillis)) {
+    if (ahead == 0 || !isStanding(priority, nowMillis)) {
       return false;
     }
     int placed = recentPlacements(priority, nowMillis).size();
@@ -102,10 +121,16 @@
    * @param nowMillis the current monotonic time, in milliseconds
    */
   public void add(T request, int priority, long goalMillis, long nowMillis) {
-    if (entries.isEmpty() && !isStanding(nowMillis)) {
-      nonEmptySinceMillis = nowMillis;
-    }
-    lastNonEmptyMillis = nowMillis;
+    occupancies.computeIfAbsent(priority, p -> new Occupancy(nowMillis));
+    occupancies.forEach(
+        (waiting, occupancy) -> {
+          if (waiting >= priority) {
+            if (!isAhead(waiting) && !isStanding(waiting, nowMillis)) {
+              occupancy.sinceMillis = nowMillis;
+            }
+            occupancy.lastMillis = nowMillis;
+          }
+        });
     entries.add(new Entry<>(request, priority, nextSequence++, nowMillis, goalMillis));
   }
 
@@ -116,7 +141,7 @@
    * @param nowMillis the current monotonic time, in milliseconds
    */
   public void placed(T request, long nowMillis) {
-    lastNonEmptyMillis = nowMillis;
+    recordOccupancy(nowMillis);
     for (Entry<T> entry : entries) {
       if (entry.request == request) {
         recentPlacements(entry.priority, nowMillis).addLast(nowMillis);
@@ -125,6 +150,15 @@
     remove(request);
   }
 
+  private void recordOccupancy(long nowMillis) {
+    occupancies.forEach(
+        (priority, occupancy) -> {
+          if (isAhead(priority)) {
+            occupancy.lastMillis = nowMillis;
+          }
+        });
+  }
+
   /**
    * Removes a request that has ended.
    *
@@ -146,13 +180,12 @@
    * @return the removed requests
    */
   public List<T> removeExpired(long nowMillis) {
-    double factor = isStanding(nowMillis) ? STANDING_WAIT_FACTOR : BURST_WAIT_FACTOR;
-    if (!entries.isEmpty()) {
-      lastNonEmptyMillis = nowMillis;
-    }
+    recordOccupancy(nowMillis);
     List<T> expired = new ArrayList<>();
     for (Iterator<Entry<T>> it = entries.iterator(); it.hasNext(); ) {
       Entry<T> entry = it.next();
+      double factor =
+          isStanding(entry.priority, nowMillis) ? STANDING_WAIT_FACTOR : BURST_WAIT_FACTOR;
       if (nowMillis - entry.queuedMillis > factor * entry.goalMillis) {
         it.remove();
         expired.add(entry.request);
@@ -169,9 +202,12 @@
    * @return true if the load exceeds the capacity and not only for a moment
    */
   public boolean isStanding(long nowMillis) {
-    long untilMillis = entries.isEmpty() ? lastNonEmptyMillis : nowMillis;
-    return nowMillis - untilMillis <= EMPTY_MILLIS
-        && untilMillis - nonEmptySinceMillis > STANDING_MILLIS;
+    return occupancies.keySet().stream().anyMatch(priority -> isStanding(priority, nowMillis));
+  }
+
+  private boolean isStanding(int priority, long nowMillis) {
+    Occupancy occupancy = occupancies.get(priority);
+    return occupancy != null && occupancy.isStanding(isAhead(priority), nowMillis);
   }
 
   /**
@@ -179,14 +215,17 @@
    * some time is expected to last about as long again; the delay varies by half, so that callers
    * who are refused together do not return together.
    *
+   * @param priority the priority of the request, 0 being the most urgent
    * @param goalMillis the latency objective of the request, in milliseconds
    * @param nowMillis the current monotonic time, in milliseconds
    * @param random the source of randomness
    * @return the delay in milliseconds
    */
-  public long retryDelayMillis(long goalMillis, long nowMillis, RandomGenerator random) {
-    boolean isEmptied = entries.isEmpty() && !isStanding(nowMillis);
-    long standing = isEmptied ? 0 : nowMillis - nonEmptySinceMillis;
+  public long retryDelayMillis(
+      int priority, long goalMillis, long nowMillis, RandomGenerator random) {
+    boolean isEmptied = !isAhead(priority) && !isStanding(priority, nowMillis);
+    Occupancy occupancy = occupancies.get(priority);
+    long standing = isEmptied || occupancy == null ? 0 : nowMillis - occupancy.sinceMillis;
     long delay = Math.clamp(standing, Math.min(goalMillis, MAX_RETRY_MILLIS), MAX_RETRY_MILLIS);
     return delay / 2 + random.nextLong(delay + 1);
   }
--- a/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
@@ -115,6 +115,18 @@
     assertThat(queue.isStanding(now)).isFalse();
   }
 
+  /** Waiting less urgent requests delay nobody who is more urgent. */
+  @Test
+  void standingLessUrgentRequestsDoNotShortenTheWaitOfUrgentOnes() {
+    long now = fillStandingQueue(1);
+    queue.add("urgent", 0, GOAL_MILLIS, now);
+
+    assertThat(queue.removeExpired(now + GOAL_MILLIS / 2)).doesNotContain("urgent");
+    assertThat(queue.removeExpired(now + GOAL_MILLIS + 1)).contains("urgent");
+    assertThat(queue.retryDelayMillis(0, GOAL_MILLIS, now, new Random(1)))
+        .isLessThanOrEqualTo(GOAL_MILLIS * 3 / 2);
+  }
+
   @Test
   void shortLivedQueueIsNeverFull() {
     for (int i = 0; i < 100; i++) {
@@ -139,9 +151,9 @@
 
     for (int seed = 0; seed < 50; seed++) {
       Random random = new Random(seed);
-      assertThat(queue.retryDelayMillis(GOAL_MILLIS, 100, random)).isBetween(200L, 600L);
-      assertThat(queue.retryDelayMillis(GOAL_MILLIS, 3_000, random)).isBetween(1_500L, 4_500L);
-      assertThat(queue.retryDelayMillis(GOAL_MILLIS, 60_000, random)).isBetween(2_500L, 7_500L);
+      assertThat(queue.retryDelayMillis(1, GOAL_MILLIS, 100, random)).isBetween(200L, 600L);
+      assertThat(queue.retryDelayMillis(1, GOAL_MILLIS, 3_000, random)).isBetween(1_500L, 4_500L);
+      assertThat(queue.retryDelayMillis(1, GOAL_MILLIS, 60_000, random)).isBetween(2_500L, 7_500L);
     }
   }
 }
