Readers bridge a gap in the history and a moment without the store, and compress large bodies

Change: after a 410 the reader lists, and the difference to its known state continues its log; its calls may fail for 500 ms before it counts as failing; while nothing answers, one kind of each instance calls again and the others follow; bodies of 2 KB and more are compressed, and the time for a response ends with its head.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -97,6 +97,28 @@
         address, "GET", target, fields, new byte[0], timeoutMillis, maxIdleMillis, consumer);
   }
 
+  /**
+   * Makes a GET call that the other side may hold; the consumer is called once unless it is
+   * cancelled.
+   *
+   * @param headMillis the time until the response begins, in milliseconds
+   * @param bodyMillis the time from then until it is complete, in milliseconds
+   * @return a handle that cancels the call
+   */
+  Handle readHeld(
+      Address address,
+      String target,
+      long headMillis,
+      long bodyMillis,
+      Consumer<Outcome> consumer) {
+    HttpFields fields = StoreFormat.fields(address.toString(), 0);
+    Call call = new Call(loop.budget(), () -> false, consumer);
+    call.begun = () -> startTimer(address, call, bodyMillis);
+    OutboundRequest outbound = OutboundRequest.of("GET", target, fields, new byte[0], call);
+    send(address, outbound, call, headMillis, ANY_IDLE_TIME);
+    return call;
+  }
+
   /** A call that can be cancelled. Guarded by the loop's lock. */
   interface Handle {
     /** Cancels the call, whose consumer is not called any more; has no effect after the call. */
@@ -143,18 +165,25 @@
       long timeoutMillis,
       long maxIdleMillis) {
     call.outbound = outbound;
+    startTimer(address, call, timeoutMillis);
+    pool.send(address, outbound, maxIdleMillis);
+  }
+
+  private void startTimer(Address address, Call call, long timeoutMillis) {
+    if (call.timer != null) {
+      call.timer.cancel();
+    }
     call.timer =
         loop.after(
             timeoutMillis,
             () -> {
               if (!call.isDone) {
-                outbound.cancel();
+                call.outbound.cancel();
                 // Connections that were opened before may have failed without notice, too.
                 pool.closeIdle(address);
                 call.failed("no response within " + timeoutMillis + " ms");
               }
             });
-    pool.send(address, outbound, maxIdleMillis);
   }
 
   /** A call in progress. */
@@ -165,6 +194,7 @@
     private final MessageBuffer body;
     private EventLoop.Timer timer;
     private OutboundRequest outbound;
+    private Runnable begun = () -> {};
     private int status;
     private HttpFields fields = HttpFields.EMPTY;
     private boolean isDone;
@@ -194,6 +224,7 @@
     public void started(ResponseHead head) {
       status = head.status();
       fields = head.fields();
+      begun.run();
     }
 
     @Override
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreSources.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreSources.java
@@ -1,8 +1,11 @@
 package org.bulrushpier.daemon.serve;
 
+import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -10,7 +13,7 @@
 import org.bulrushpier.Moment;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.StoreFormat;
-import org.bulrushpier.daemon.net.ConnectionPool;
+import org.bulrushpier.daemon.net.EventLoop;
 import org.bulrushpier.watch.StoreReaders;
 import org.bulrushpier.watch.StoreReaders.Source;
 import org.bulrushpier.watch.WatchLog;
@@ -47,6 +50,12 @@
     }
   }
 
+  /** The longest time for which a watch waits for the one that calls again, in milliseconds. */
+  private static final long MAX_RETRY_MILLIS = 2_000;
+
+  /** The time for the body of a response that has begun, in milliseconds. */
+  private static final long BODY_MILLIS = 500;
+
   private static final int NOT_READ = 404;
   private static final int GONE = 410;
   private static final String STORE = "store";
@@ -76,14 +85,25 @@
       if (outcome.status() == NOT_READ || outcome.status() == GONE) {
         consumer.accept(Answer.without(Status.ELSEWHERE));
       } else if (outcome.isOk() && offset.isPresent()) {
-        Moment proven = WatchLog.provenAt(outcome.sent(), offset.getAsLong(), now);
-        consumer.accept(new Answer(Status.ANSWERED, outcome.body(), proven));
+        answered(outcome, WatchLog.provenAt(outcome.sent(), offset.getAsLong(), now));
       } else {
         leave(reader, outcome.status() == ControlClient.NO_RESPONSE ? "no response" : "refused");
         consumer.accept(Answer.without(Status.FAILED));
       }
     }
 
+    private void answered(ControlClient.Outcome outcome, Moment proven) {
+      byte[] body;
+      try {
+        body = StoreFormat.received(outcome.fields(), outcome.body());
+      } catch (IOException e) {
+        leave(reader, "unreadable");
+        consumer.accept(Answer.without(Status.FAILED));
+        return;
+      }
+      consumer.accept(new Answer(Status.ANSWERED, body, proven));
+    }
+
     private void fail() {
       if (pending.remove(this)) {
         handle.cancel();
@@ -92,11 +112,16 @@
     }
   }
 
+  /** A watch that is to call again. Immutable by convention. */
+  private record Retry(Runnable call, EventLoop.Timer timer) {}
+
   private final GatewayContext context;
   private final StoreReaders readers;
   private final Members members;
   private final WatchRelay relay;
   private final Set<Pending> pending = new LinkedHashSet<>();
+  private final Map<String, Retry> waiting = new LinkedHashMap<>();
+  private String retrying = "";
   private String current = STORE;
   private String reason = "members";
 
@@ -176,7 +201,8 @@
    *
    * @param reader the address of the reader
    * @param target path and query
-   * @param timeoutMillis the time after which the reader counts as failed, in milliseconds
+   * @param timeoutMillis the time after which the reader counts as failed if its response has not
+   *     begun, in milliseconds
    * @param consumer receives the answer
    */
   void call(Address reader, String target, long timeoutMillis, Consumer<Answer> consumer) {
@@ -184,9 +210,7 @@
     Pending call = new Pending(reader, consumer);
     pending.add(call);
     call.handle =
-        context
-            .client()
-            .read(reader, target, timeoutMillis, ConnectionPool.ANY_IDLE_TIME, call::received);
+        context.client().readHeld(reader, target, timeoutMillis, BODY_MILLIS, call::received);
   }
 
   /**
@@ -205,6 +229,40 @@
     }
   }
 
+  /**
+   * Lets a watch call again after a failure. While none is answered, only one of the watches of
+   * this instance calls again and again; the others follow as soon as one is answered.
+   *
+   * @param kind the kind that the watch reads
+   * @param pauseMillis the pause before the next call, in milliseconds
+   * @param call makes the call
+   */
+  void retry(String kind, long pauseMillis, Runnable call) {
+    boolean isFirst = retrying.isEmpty() || retrying.equals(kind);
+    if (isFirst || context.settings().storeReaders() == 0) {
+      retrying = kind;
+      context.loop().after(pauseMillis, call);
+      return;
+    }
+    EventLoop.Timer timer =
+        context.loop().after(MAX_RETRY_MILLIS + pauseMillis, () -> retryNow(kind));
+    waiting.put(kind, new Retry(call, timer));
+  }
+
+  private void retryNow(String kind) {
+    Retry retry = waiting.remove(kind);
+    if (retry != null) {
+      retry.timer.cancel();
+      retry.call.run();
+    }
+  }
+
+  /** Records that a watch of this instance was answered. */
+  void answered() {
+    retrying = "";
+    List.copyOf(waiting.keySet()).forEach(this::retryNow);
+  }
+
   /** Reads the store after this process did not run for a while, and answers calls that are due. */
   void tick(long stalledMillis, long nowMillis) {
     if (readers.woken(stalledMillis, nowMillis)) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -126,6 +128,10 @@
   private final Timing timing;
   private final Listener listener;
   private final List<StoreObject> values = new ArrayList<>();
+
+  /** The names of the objects in the known state. */
+  private final Set<String> names = new HashSet<>();
+
   private Moment listSentAt;
 
   /** A moment at which the known state was certainly the newest. */
@@ -231,7 +237,11 @@
     succeeded();
     listener.listed(List.copyOf(values), listSentAt, currentAt);
     currentAt = listSentAt;
-    sources.relay().listed(kind, revision, currentAt, timing.periodMillis());
+    sources
+        .relay()
+        .listed(kind, revision, values, Set.copyOf(names), currentAt, timing.periodMillis());
+    names.clear();
+    values.forEach(value -> names.add(value.name()));
     // Later pages may hold newer objects than a reader knows.
     isProbing = !after.isEmpty();
     return this::next;
@@ -304,6 +314,7 @@
     revision = Math.max(revision, events.revision());
     succeeded();
     listener.changed(events.events(), answer.proven(), currentAt);
+    events.events().forEach(this::recordName);
     if (answer.proven().monotonicMillis() > currentAt.monotonicMillis()) {
       currentAt = answer.proven();
     }
@@ -315,6 +326,14 @@
     return this::next;
   }
 
+  private void recordName(Event event) {
+    if (event.isRemoved()) {
+      names.remove(event.value().name());
+    } else {
+      names.add(event.value().name());
+    }
+  }
+
   /** Returns the age that a proof reaches while a reader's watches end without a failure. */
   private long oldestProofMillis() {
     return 2 * timing.waitMillis() + timing.pauseMillis() + LATE_MILLIS;
@@ -350,10 +369,13 @@
     final long before = revision;
     revision = events.revision();
     succeeded();
-    listener.changed(events.events(), outcome.sent(), currentAt);
     boolean isEmpty = events.events().isEmpty();
-    currentAt = provenAt(isEmpty, waitMillis, outcome.sent(), Moment.now());
-    sources.relay().changed(kind, before, events, outcome.body(), currentAt, timing.periodMillis());
+    Moment proven = provenAt(isEmpty, waitMillis, outcome.sent(), Moment.now());
+    // Others do not wait until this instance has applied the changes.
+    sources.relay().changed(kind, before, events, outcome.body(), proven, timing.periodMillis());
+    events.events().forEach(this::recordName);
+    listener.changed(events.events(), outcome.sent(), currentAt);
+    currentAt = proven;
     isProbing = !isEmpty && timing.isChangeConfirmed();
     return isEmpty ? this::next : () -> loop.after(timing.pauseMillis(), this::next);
   }
@@ -378,6 +400,7 @@
     isProbing = false;
     isUnavailable = false;
     backoffMillis = MIN_BACKOFF_MILLIS;
+    sources.answered();
   }
 
   private Runnable failed(ControlClient.Outcome outcome) {
@@ -396,6 +419,6 @@
     isProbing = true;
     long pause = backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis);
     backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
-    return () -> loop.after(pause, this::next);
+    return () -> sources.retry(kind, pause, this::next);
   }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WatchRelay.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WatchRelay.java
@@ -8,9 +8,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.bulrushpier.Moment;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
+import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.InboundRequest;
 import org.bulrushpier.limit.ByteBudget;
@@ -49,7 +51,7 @@
   private static final class Kind {
     private final WatchLog log = new WatchLog();
     private final Set<Held> held = new LinkedHashSet<>();
-    private final Map<Long, byte[]> encoded = new HashMap<>();
+    private final Map<Long, StoreFormat.RelayedBody> encoded = new HashMap<>();
     private final ByteBudget.Account kept;
 
     Kind(ByteBudget budget) {
@@ -81,14 +83,41 @@
     return kinds.values().stream().mapToInt(kind -> kind.held.size()).sum();
   }
 
-  /** Records that all objects of a kind were read from the store. */
-  void listed(String name, long revision, Moment proven, long periodMillis) {
+  /**
+   * Records that all objects of a kind were read from the store. If this instance knew an earlier
+   * state, the difference continues the log, so that others need not list.
+   *
+   * @param name the kind
+   * @param revision the revision of the list
+   * @param values the objects
+   * @param known the names of the objects in the state before
+   * @param proven a moment at which that state was certainly the newest
+   * @param periodMillis the time within which the next result is expected, in milliseconds
+   */
+  void listed(
+      String name,
+      long revision,
+      List<StoreObject> values,
+      Set<String> known,
+      Moment proven,
+      long periodMillis) {
     if (!isShared.getAsBoolean()) {
       notReading(name);
       return;
     }
     Kind kind = kind(name);
-    kind.log.begin(revision, proven, Moment.now(), periodMillis);
+    Moment now = Moment.now();
+    Optional<List<WatchLog.Change>> difference =
+        kind.log.isOpen()
+            ? StoreFormat.difference(values, known, kind.log.revision())
+            : Optional.empty();
+    if (difference.isPresent()) {
+      List<WatchLog.Change> changes = difference.get();
+      byte[] body = StoreFormat.events(changes, revision);
+      kind.log.append(revision, changes, body, proven, now, periodMillis);
+    } else {
+      kind.log.begin(revision, proven, now, periodMillis);
+    }
     logChanged(kind);
   }
 
@@ -145,15 +174,14 @@
   void failed(String name) {
     Kind kind = kinds.get(name);
     if (kind != null) {
-      kind.log.failed();
-      refuseIfOutdated();
+      kind.log.failed(Moment.now());
     }
   }
 
   /** Records that a kind is not read from the store or not for others. */
   void notReading(String name) {
-    Kind kind = kinds.get(name);
-    if (kind != null && kind.log.isOpen()) {
+    Kind kind = kind(name);
+    if (kind.log.isOpen() || !kind.held.isEmpty()) {
       kind.log.end();
       kind.kept.close();
       kind.encoded.clear();
@@ -195,7 +223,7 @@
     Moment now = Moment.now();
     Optional<StoreFormat.WatchRequest> watch = StoreFormat.watchRequest(request.target());
     Kind kind = watch.map(asked -> kinds.get(asked.kind())).orElse(null);
-    if (kind == null || !kind.log.isOpen()) {
+    if (kind == null || !(kind.log.isOpen() || isShared.getAsBoolean())) {
       respond(connection, NOT_READ);
     } else if (isOutdated(now)) {
       respond(connection, UNAVAILABLE);
@@ -208,7 +236,9 @@
       CallerConnection connection, Kind kind, StoreFormat.WatchRequest watch, Moment now) {
     long hold = Math.min(watch.waitMillis(), MAX_HOLD_MILLIS);
     Held held = new Held(connection, watch.revision(), now, now.monotonicMillis() + hold);
-    boolean isNews = !(kind.log.after(watch.revision()) instanceof WatchLog.Answer.Nothing);
+    // A log that has not begun does so with the result of the watch that is under way.
+    boolean isNews =
+        kind.log.isOpen() && !(kind.log.after(watch.revision()) instanceof WatchLog.Answer.Nothing);
     if (isNews || hold == 0) {
       answer(kind, held, now);
     } else {
@@ -218,14 +248,18 @@
   }
 
   private void answer(Kind kind, Held held, Moment now) {
-    byte[] body =
+    StoreFormat.RelayedBody body =
         switch (kind.log.after(held.revision)) {
           case WatchLog.Answer.Gone gone -> null;
-          case WatchLog.Answer.Whole whole -> whole.body();
+          case WatchLog.Answer.Whole whole -> encode(kind, held.revision, whole::body);
           case WatchLog.Answer.Nothing nothing ->
-              encode(kind, Long.MAX_VALUE, List.of(), kind.log.revision());
+              encode(
+                  kind, Long.MAX_VALUE, () -> StoreFormat.events(List.of(), kind.log.revision()));
           case WatchLog.Answer.Selected selected ->
-              encode(kind, held.revision, selected.changes(), selected.revision());
+              encode(
+                  kind,
+                  held.revision,
+                  () -> StoreFormat.events(selected.changes(), selected.revision()));
         };
     if (body == null) {
       respond(held.connection, kind.log.isOpen() ? GONE : NOT_READ);
@@ -233,15 +267,20 @@
     }
     context.metrics().followerServed();
     long offset = kind.log.proofOffsetMillis(held.received, now);
-    held.connection.respond(OK, StoreFormat.proof(offset), body);
+    held.connection.respond(OK, StoreFormat.proof(offset, body.isCompressed()), body.bytes());
   }
 
-  private static byte[] encode(
-      Kind kind, long revision, List<WatchLog.Change> changes, long newest) {
+  private static StoreFormat.RelayedBody encode(Kind kind, long revision, Supplier<byte[]> body) {
+    StoreFormat.RelayedBody known = kind.encoded.get(revision);
+    if (known != null) {
+      return known;
+    }
     if (kind.encoded.size() >= MAX_ENCODED) {
       kind.encoded.clear();
     }
-    return kind.encoded.computeIfAbsent(revision, key -> StoreFormat.events(changes, newest));
+    StoreFormat.RelayedBody encoded = StoreFormat.relayed(body.get());
+    kind.encoded.put(revision, encoded);
+    return encoded;
   }
 
   private static void respond(CallerConnection connection, int status) {
--- a/library/src/main/java/org/bulrushpier/watch/WatchLog.java
+++ b/library/src/main/java/org/bulrushpier/watch/WatchLog.java
@@ -37,6 +37,12 @@
    */
   static final long OVERDUE_MILLIS = 400;
 
+  /**
+   * How long a watch may fail before receivers must not rely on its last result, in milliseconds.
+   * It covers a moment in which the store closes all connections.
+   */
+  static final long FAILING_MILLIS = 500;
+
   /**
    * A change of an object. Immutable by convention: the bytes must not be changed.
    *
@@ -84,7 +90,7 @@
   private Moment provenAt = Moment.DISTANT_PAST;
   private Moment receivedAt = Moment.DISTANT_PAST;
   private long nextWithinMillis;
-  private boolean isFailing;
+  private Moment failingSince;
 
   /**
    * Begins the log anew.
@@ -108,7 +114,7 @@
     oldest = NONE;
     newest = NONE;
     provenAt = Moment.DISTANT_PAST;
-    isFailing = false;
+    failingSince = null;
   }
 
   /** Returns whether the log has begun. */
@@ -151,12 +157,18 @@
     provenAt = proven;
     receivedAt = now;
     nextWithinMillis = nextMillis;
-    isFailing = false;
+    failingSince = null;
   }
 
-  /** Records that the last call of the watch has failed. */
-  public void failed() {
-    isFailing = true;
+  /**
+   * Records that the last call of the watch has failed.
+   *
+   * @param now the current moment
+   */
+  public void failed(Moment now) {
+    if (failingSince == null) {
+      failingSince = now;
+    }
   }
 
   /**
@@ -167,7 +179,9 @@
    * @return false if receivers must not rely on this log
    */
   public boolean isCurrent(Moment now) {
-    return isOpen() && !isFailing && receivedAt.ageMillis(now) <= nextWithinMillis + OVERDUE_MILLIS;
+    return isOpen()
+        && (failingSince == null || failingSince.ageMillis(now) <= FAILING_MILLIS)
+        && receivedAt.ageMillis(now) <= nextWithinMillis + OVERDUE_MILLIS;
   }
 
   /** Returns the bytes that the log keeps. */
