Followers call the store once after a failure of their reader; tests

Cause: after a failed call to a reader a follower listed the kind anew, as after a failure of the store. Change: it makes the one call at the store from the revision that it has, and goes on at another reader. Tests: FollowerWatchTest (without a network), StoreWatchTest.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -295,21 +295,15 @@
   }
 
   private Runnable answeredBy(Address reader, StoreSources.Answer answer) {
-    if (answer.status() == StoreSources.Status.ELSEWHERE) {
-      isRelayed = false;
-      return this::watchStore;
-    }
-    if (answer.status() == StoreSources.Status.FAILED) {
-      isProbing = true;
-      return this::watchStore;
+    if (answer.status() != StoreSources.Status.ANSWERED) {
+      return storeInstead(answer.status() == StoreSources.Status.FAILED);
     }
     StoreFormat.Events events;
     try {
       events = StoreFormat.events(answer.body());
     } catch (IOException e) {
       sources.leave(reader, "unreadable");
-      isProbing = true;
-      return this::watchStore;
+      return storeInstead(true);
     }
     revision = Math.max(revision, events.revision());
     succeeded();
@@ -320,12 +314,18 @@
     }
     if (currentAt.ageMillis(Moment.now()) > oldestProofMillis()) {
       sources.leave(reader, "outdated");
-      isProbing = true;
-      return this::watchStore;
+      return storeInstead(true);
     }
     return this::next;
   }
 
+  /** Calls the store in place of a reader. */
+  private Runnable storeInstead(boolean isReaderFailed) {
+    isRelayed = false;
+    isProbing |= isReaderFailed;
+    return this::watchStore;
+  }
+
   private void recordName(Event event) {
     if (event.isRemoved()) {
       names.remove(event.value().name());
