Build what an attempt sends in a class of its own; no change of behaviour

Exchange.Attempt.start chose the header fields, recorded the request at its replica and wrote the log line. AttemptRequest does that now, with the checks of the weights that the request was sent for.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -10,7 +10,6 @@
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.CallFormat;
 import org.bulrushpier.call.CallerRequest;
-import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.call.UpstreamResponse;
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.ConnectionPool;
@@ -19,7 +18,6 @@
 import org.bulrushpier.daemon.net.ResponseHead;
 import org.bulrushpier.limit.ByteBudget;
 import org.bulrushpier.placing.AttemptRace;
-import org.bulrushpier.placing.CachePlanner;
 import org.bulrushpier.placing.CallerPatience;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.placing.PlacementQueue;
@@ -31,7 +29,6 @@
 import org.bulrushpier.site.ConfiguredRoute;
 import org.bulrushpier.site.KeyHolder;
 import org.bulrushpier.site.RouteKind;
-import org.bulrushpier.site.Service;
 import org.bulrushpier.stream.EventSplitter;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -590,7 +587,7 @@
     private ResponseBody body;
     private OutboundRequest outbound;
     private Replica.InFlightRequest inFlight;
-    private int weightVersion;
+    private AttemptRequest sent;
     private ResponseHead head;
     private UpstreamResponse response;
     private boolean isForwardingEvents;
@@ -608,75 +605,11 @@
     }
 
     void start(long remaining, long maxIdle) {
-      Optional<PromptShape> prompt = request.prompt();
-      weightVersion = prompt.map(p -> replica.version(p.model())).orElse(0);
-      final String salt = prompt.isPresent() ? selection.salt(weightVersion) : "";
-      int uncached = placement.cache().prefillTokens();
-      long now = MonotonicClock.millis();
-      long overdue = now + 2 * Math.max(placement.expectedMillis(), route.goalMillis());
-      inFlight =
-          new Replica.InFlightRequest(
-              selection.priority(),
-              uncached,
-              prompt.map(p -> p.totalTokens()).orElse(0),
-              placement.cache().transferMillis(),
-              now,
-              overdue);
-      replica.begin(request.id(), inFlight);
-      coldSend = context.cold().begin(replica, now);
-      replica.breaker().begin(now);
-      List<String> cacheTargets =
-          prompt.isPresent()
-              ? CachePlanner.planSaves(prompt.get(), salt, replica, selection.cacheStores(), now)
-              : List.of();
-      prompt.ifPresent(p -> replica.parts().add(salt, p.parts(), memoryTokens()));
-      HttpFields fields =
-          CallFormat.forwardedRequest(
-              inbound.fields(),
-              new CallFormat.AddedFields(
-                  replica.entry().id(),
-                  holder.customer(),
-                  remaining,
-                  lastEvent,
-                  prompt.isPresent() ? selection.priority() : -1,
-                  salt,
-                  weightVersion,
-                  placement.cache().sources(),
-                  context.replicaClock().at(now + placement.maxFetchMillis(), now).orElse(-1),
-                  cacheTargets),
-              inbound.method(),
-              inbound.body().length);
-      context
-          .log()
-          .event(
-              "placed",
-              "request",
-              request.id(),
-              "route",
-              route.name(),
-              "replica",
-              replica.entry().id(),
-              "uncached",
-              uncached,
-              "sharedRead",
-              placement.cache().sharedPrefillTokens(),
-              "fetched",
-              placement.cache().fetchedTokens(),
-              "expectedMs",
-              placement.expectedMillis(),
-              "own",
-              replica.ownRequests(),
-              "toldWaiting",
-              replica.reportedLoad().waiting(),
-              "durationFactor",
-              Math.round(100 * replica.workDurationFactor(now)) / 100.0,
-              "weights",
-              weightVersion,
-              "outdatedMs",
-              outdatedMillis());
-      context
-          .metrics()
-          .placed(placement.cache().sharedPrefillTokens(), placement.cache().fetchedTokens());
+      sent = new AttemptRequest(context, inbound, request, route, selection, placement);
+      inFlight = sent.begin();
+      coldSend = context.cold().begin(replica, MonotonicClock.millis());
+      HttpFields fields = sent.fields(remaining, lastEvent);
+      sent.logPlaced();
       outbound =
           OutboundRequest.of(inbound.method(), inbound.target(), fields, inbound.body(), this);
       context.upstreamPool().send(replica.entry().address(), outbound, maxIdle);
@@ -684,12 +617,7 @@
 
     /** Returns whether the request waits at an engine whose weights must no longer be used. */
     private boolean isExpired() {
-      if (inFlight.isStarted() || request.prompt().isEmpty()) {
-        return false;
-      }
-      String model = request.prompt().get().model();
-      return weightVersion < context.weights().target(model).version()
-          && selection.weightPreference(model).isExpired(weightVersion);
+      return !inFlight.isStarted() && sent.isExpired();
     }
 
     /** Cancels the request at its engine and sends it to another one if that is allowed. */
@@ -703,9 +631,9 @@
               "replica",
               replica.entry().id(),
               "weights",
-              weightVersion,
+              sent.weightVersion(),
               "outdatedMs",
-              outdatedMillis(),
+              sent.outdatedMillis(),
               "waitedMs",
               MonotonicClock.millis() - inFlight.sentMillis());
       excludeReplica();
@@ -713,53 +641,6 @@
       retryOrGiveUp("its engine's weights were replaced before it started");
     }
 
-    /** Returns whether the engine would start the request before its weights are excluded. */
-    private boolean isVersionAllowed() {
-      return request
-          .prompt()
-          .map(
-              prompt ->
-                  selection
-                      .weightPreference(prompt.model())
-                      .allows(weightVersion, placement.expectedMillis()))
-          .orElse(true);
-    }
-
-    /** Returns how long the weights that the request was sent for have been outdated, in ms. */
-    private long outdatedMillis() {
-      return request
-          .prompt()
-          .map(prompt -> selection.weightPreference(prompt.model()).outdatedMillis(weightVersion))
-          .orElse(0L);
-    }
-
-    private void logOutdatedStart(long outdatedMillis, long waitedMillis) {
-      context.metrics().startedOutdated(outdatedMillis);
-      context
-          .log()
-          .event(
-              "started-outdated",
-              "request",
-              request.id(),
-              "replica",
-              replica.entry().id(),
-              "weights",
-              weightVersion,
-              "outdatedMs",
-              outdatedMillis,
-              "waitedMs",
-              waitedMillis);
-    }
-
-    private long memoryTokens() {
-      return context
-          .configuration()
-          .configuration()
-          .flatMap(c -> c.service(selection.service()))
-          .map(s -> s instanceof Service.Engines engines ? engines.memoryTokens() : 0L)
-          .orElse(0L);
-    }
-
     void cancel(String reason) {
       if (!isEnded) {
         attemptEnd = reason;
@@ -905,7 +786,7 @@
       isWithheld |= context.cold().isExceeded(replica, MonotonicClock.millis());
       return isWithheld
           || remainingMillis() <= 0
-          || !isVersionAllowed()
+          || !sent.isVersionAllowed()
           || selection.isWithdrawn(replica, MonotonicClock.millis())
           || parts.check(attempts).isPresent();
     }
@@ -940,9 +821,9 @@
       }
       mayHaveRun = true;
       replica.breaker().succeeded();
-      long outdatedMillis = outdatedMillis();
+      long outdatedMillis = sent.outdatedMillis();
       if (outdatedMillis > 0) {
-        logOutdatedStart(outdatedMillis, now - inFlight.sentMillis());
+        sent.logOutdatedStart(outdatedMillis, now - inFlight.sentMillis());
       }
       if (route.kind() == RouteKind.STREAM && response.isEventStream()) {
         if (placement.isAlone() && placement.cache().transferMillis() == 0) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -66,6 +66,11 @@
     return service;
   }
 
+  /** Returns the name of the customer that sent the request, or empty. */
+  String customer() {
+    return holder.customer();
+  }
+
   /** Returns the priority of the request, 0 being the most urgent. */
   int priority() {
     return Math.clamp(holder.effectivePriority(route), 0, MAX_PRIORITY);
