Let streams that may not be resumed go on from a copy of their run

Callers lost each stream of a route without can_resume whose replica crashed, fell silent or was taken away: reading the prompt again would be a second run. Where the configuration says backups for a service of engines, a request now names another replica that receives a copy of the run (Kv-Backup), and a run whose replica is lost goes on there as the same run (Kv-From, Last-Event-Id), with exactly the next event.

- CopyPlacement: which runs get a copy (at most 100 prompt tokens a token of expected output), and where: in another failure domain if possible, within two fifths of a replica's memory, never at one that may not get the request itself.
- SilenceWatch, ReplicaInquiries: a silent engine is left after half of the expected pause and 200 ms if it answers no report while the holder of the copy does; its connection is closed first.
- RunCopy, Survival: one use a copy, only under the weights of the run; the continuation draws on the retry budget.
- A run that goes on is not recalled for its weights and may not be placed anywhere else.
- Metrics bulrushpier_copies_*, bulrushpier_continuations_total; log event goes-on, copyAt in placed.
- The soak orders copies and checks that a stream which may not be resumed runs once or goes on from its copy.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
@@ -12,6 +12,7 @@
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.site.ConfiguredRoute;
 import org.bulrushpier.site.Service;
+import org.bulrushpier.survival.RunCopy.Continuation;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -27,6 +28,8 @@
   private final CallerRequest request;
   private final ConfiguredRoute route;
   private final ReplicaSelection selection;
+  private final Survival survival;
+  private final Optional<Continuation.GoOn> continuation;
   private final Placement.Send placement;
   private final Replica replica;
   private final Optional<PromptShape> prompt;
@@ -40,16 +43,23 @@
       CallerRequest request,
       ConfiguredRoute route,
       ReplicaSelection selection,
+      Survival survival,
+      Optional<Continuation.GoOn> continuation,
       Placement.Send placement) {
     this.context = context;
     this.inbound = inbound;
     this.request = request;
     this.route = route;
     this.selection = selection;
+    this.survival = survival;
+    this.continuation = continuation;
     this.placement = placement;
     replica = placement.replica();
     prompt = request.prompt();
-    weightVersion = prompt.map(p -> replica.version(p.model())).orElse(0);
+    weightVersion =
+        continuation
+            .map(Continuation.GoOn::weightVersion)
+            .orElseGet(() -> prompt.map(p -> replica.version(p.model())).orElse(0));
     salt = prompt.isPresent() ? selection.salt(weightVersion) : "";
   }
 
@@ -75,18 +85,19 @@
   }
 
   /**
-   * Creates the header fields, and records where the parts of the prompt will be.
+   * Creates the header fields, orders a copy of the run, and records where the parts of the prompt
+   * will be.
    *
    * @param remaining the time until the deadline, in milliseconds
    * @param lastEvent the event after which the stream resumes, or -1
    */
   HttpFields fields(long remaining, long lastEvent) {
-    List<String> cacheTargets =
-        prompt.isPresent()
-            ? CachePlanner.planSaves(
-                prompt.get(), salt, replica, selection.cacheStores(), beganMillis)
-            : List.of();
-    prompt.ifPresent(p -> replica.parts().add(salt, p.parts(), memoryTokens()));
+    List<String> cacheTargets = List.of();
+    if (prompt.isPresent() && continuation.isEmpty()) {
+      cacheTargets =
+          CachePlanner.planSaves(prompt.get(), salt, replica, selection.cacheStores(), beganMillis);
+      replica.parts().add(salt, prompt.get().parts(), memoryTokens());
+    }
     return CallFormat.forwardedRequest(
         inbound.fields(),
         new CallFormat.AddedFields(
@@ -102,7 +113,9 @@
                 .replicaClock()
                 .at(beganMillis + placement.maxFetchMillis(), beganMillis)
                 .orElse(-1),
-            cacheTargets),
+            cacheTargets,
+            survival.order(replica, weightVersion),
+            continuation.map(c -> c.holder().entry().address().toString()).orElse("")),
         inbound.method(),
         inbound.body().length);
   }
@@ -145,15 +158,21 @@
             "weights",
             weightVersion,
             "outdatedMs",
-            outdatedMillis());
+            outdatedMillis(),
+            "copyAt",
+            survival.holder());
     context
         .metrics()
         .placed(placement.cache().sharedPrefillTokens(), placement.cache().fetchedTokens());
   }
 
-  /** Returns whether the request must no longer wait at its engine, given its weights. */
+  /**
+   * Returns whether the request must no longer wait at its engine, given its weights. A run that
+   * goes on has begun before.
+   */
   boolean isExpired() {
     return prompt
+        .filter(p -> continuation.isEmpty())
         .map(
             p ->
                 weightVersion < context.weights().target(p.model()).version()
@@ -164,6 +183,7 @@
   /** Returns whether the engine would start the request before its weights are excluded. */
   boolean isVersionAllowed() {
     return prompt
+        .filter(p -> continuation.isEmpty())
         .map(
             p ->
                 selection
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -30,6 +30,7 @@
 import org.bulrushpier.site.KeyHolder;
 import org.bulrushpier.site.RouteKind;
 import org.bulrushpier.stream.EventSplitter;
+import org.bulrushpier.survival.RunCopy.Continuation;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -85,6 +86,7 @@
   private ConfiguredRoute route;
   private KeyHolder holder = KeyHolder.ANONYMOUS;
   private ReplicaSelection selection;
+  private Survival survival;
   private long deadlineMillis;
   private final AttemptRace<Attempt> race = new AttemptRace<>();
   private Attempt failedAnswer;
@@ -174,6 +176,7 @@
     }
     String service = route.service(ThreadLocalRandom.current().nextDouble());
     selection = new ReplicaSelection(context, request.prompt(), route, holder, service);
+    survival = new Survival(context, request, route, selection, triedReplicas);
     lastEvent = request.lastEventId();
     Optional<Barred> barred = parts.admit();
     if (barred.isPresent()) {
@@ -297,6 +300,10 @@
       awaitContinuation("a part of the prompt may have crashed the engine", now);
       return;
     }
+    if (isOutcomeUnknown()) {
+      goOnAtCopy(remaining, now);
+      return;
+    }
     Placement placement = selection.choose(triedReplicas, remaining, now);
     if (placement instanceof Placement.Refuse && !lostReplicas.isEmpty()) {
       Set<String> excluded = new HashSet<>(triedReplicas);
@@ -310,7 +317,7 @@
           queue().placed(this, now);
         }
         isInterrupted = false;
-        send(send, remaining);
+        send(send, remaining, Optional.empty());
       }
       case Placement.Wait busy when isStreaming -> awaitContinuation(busy.reason(), now);
       case Placement.Refuse refusal when isStreaming -> awaitContinuation(refusal.reason(), now);
@@ -319,8 +326,27 @@
     }
   }
 
-  private void send(Placement.Send placement, long remaining) {
-    Attempt attempt = new Attempt(placement.replica(), placement);
+  /** Returns whether the request may have run and must not be run again. */
+  private boolean isOutcomeUnknown() {
+    return mayHaveRun && !route.isRepeatable();
+  }
+
+  /** Lets the run of a request that must not be run again go on from its copy. */
+  private void goOnAtCopy(long remaining, long now) {
+    switch (survival.continuation(now)) {
+      case Continuation.GoOn goOn -> {
+        isInterrupted = false;
+        lastEvent = Math.max(lastEvent, 0);
+        survival.logGoesOn(goOn.holder(), lastEvent, now - lastProgressMillis, attemptEnd);
+        send(survival.use(goOn), remaining, Optional.of(goOn));
+      }
+      case Continuation.Lost lost -> giveUp(lost.reason());
+    }
+  }
+
+  private void send(
+      Placement.Send placement, long remaining, Optional<Continuation.GoOn> continuation) {
+    Attempt attempt = new Attempt(placement.replica(), placement, continuation);
     race.begin(attempt);
     long maxIdle = NON_REPEATABLE_MAX_IDLE_MILLIS;
     if (request.id().isEmpty()) {
@@ -359,8 +385,27 @@
       }
     } else {
       race.running().stream().filter(Attempt::isExpired).forEach(Attempt::recall);
-      if (!race.isEmpty() && route.isRepeatable() && !context.stalls().isRecovering(nowMillis)) {
-        placeBesideSilent(nowMillis);
+      if (!race.isEmpty() && !context.stalls().isRecovering(nowMillis)) {
+        if (route.isRepeatable()) {
+          placeBesideSilent(nowMillis);
+        } else if (isStreaming) {
+          leaveGoneReplica(nowMillis);
+        }
+      }
+    }
+  }
+
+  /** Lets the run go on from its copy if its replica is gone without closing the connection. */
+  private void leaveGoneReplica(long nowMillis) {
+    for (Attempt attempt : race.running()) {
+      if (attempt.inFlight.isStarted()
+          && survival.isGone(attempt.replica, lastProgressMillis, nowMillis)
+          && mayGoOn(nowMillis)
+          && !parts.isUncertain()) {
+        attempt.replica.markUnreachable(nowMillis);
+        attempt.replicaLost();
+        attempt.cancel("silence");
+        retryOrGiveUp("its replica is silent");
       }
     }
   }
@@ -385,7 +430,7 @@
     if (selection.choose(excluded, remaining, nowMillis) instanceof Placement.Send other
         && context.retryBudget(selection.service()).tryRetry(nowMillis)) {
       silent.forEach(attempt -> attempt.logSilence(other.replica(), nowMillis));
-      send(other, remaining);
+      send(other, remaining, Optional.empty());
     }
   }
 
@@ -411,6 +456,26 @@
         && context.retryBudget(selection.service()).tryRetry(MonotonicClock.millis());
   }
 
+  /**
+   * Returns whether the run may go on from its copy, and takes a retry from the budget if so. It is
+   * the same run, so the route's number of attempts is no bound.
+   */
+  private boolean tryAcquireContinuation() {
+    long now = MonotonicClock.millis();
+    boolean isPossible = mayGoOn(now) && context.retryBudget(selection.service()).tryRetry(now);
+    if (!isPossible) {
+      survival.lost();
+    }
+    return isPossible;
+  }
+
+  private boolean mayGoOn(long nowMillis) {
+    return survival.continuation(nowMillis) instanceof Continuation.GoOn
+        && !hasUnnumberedEvents
+        && remainingMillis() > MIN_REMAINING_MILLIS
+        && context.retryBudget(selection.service()).mayRetry(nowMillis);
+  }
+
   private boolean mayRetry(long sends) {
     return sends - parts.crashedReplicas() < route.maxAttempts()
         && !hasUnnumberedEvents
@@ -558,6 +623,9 @@
     isDone = true;
     cancelAttempts(outcome);
     leaveQueue();
+    if (survival != null) {
+      survival.release();
+    }
     if (failedAnswer != null) {
       failedAnswer.body.release();
     }
@@ -572,7 +640,7 @@
     if (!race.isEmpty()) {
       return;
     }
-    if ((!mayHaveRun || route.isRepeatable()) && tryAcquireRetry()) {
+    if (isOutcomeUnknown() ? tryAcquireContinuation() : tryAcquireRetry()) {
       place();
     } else {
       giveUp(reason);
@@ -584,6 +652,7 @@
 
     private final Replica replica;
     private final Placement.Send placement;
+    private final Optional<Continuation.GoOn> continuation;
     private ResponseBody body;
     private OutboundRequest outbound;
     private Replica.InFlightRequest inFlight;
@@ -599,13 +668,16 @@
     private ColdSpell.Send coldSend = new ColdSpell.Send();
     private boolean isWithheld;
 
-    Attempt(Replica replica, Placement.Send placement) {
+    Attempt(Replica replica, Placement.Send placement, Optional<Continuation.GoOn> continuation) {
       this.replica = replica;
       this.placement = placement;
+      this.continuation = continuation;
     }
 
     void start(long remaining, long maxIdle) {
-      sent = new AttemptRequest(context, inbound, request, route, selection, placement);
+      sent =
+          new AttemptRequest(
+              context, inbound, request, route, selection, survival, continuation, placement);
       inFlight = sent.begin();
       coldSend = context.cold().begin(replica, MonotonicClock.millis());
       HttpFields fields = sent.fields(remaining, lastEvent);
@@ -637,6 +709,7 @@
               "waitedMs",
               MonotonicClock.millis() - inFlight.sentMillis());
       excludeReplica();
+      survival.release();
       cancel("outdated weights");
       retryOrGiveUp("its engine's weights were replaced before it started");
     }
@@ -873,7 +946,7 @@
 
     private void startStream() {
       isForwardingEvents = true;
-      isContinuation = firstEventAfterMillis >= 0;
+      isContinuation = firstEventAfterMillis >= 0 || continuation.isPresent();
       long now = MonotonicClock.millis();
       if (!isContinuation) {
         overtakeOthers(now);
@@ -943,6 +1016,9 @@
       } else {
         hasUnnumberedEvents = true;
       }
+      if (!hasForwardedEvents && continuation.isPresent()) {
+        context.metrics().continuation("continued");
+      }
       hasForwardedEvents = true;
       caller.body(ByteBuffer.wrap(bytes));
     }
@@ -1027,6 +1103,10 @@
               "status",
               response.status());
       excludeReplica();
+      if (continuation.isPresent()) {
+        context.metrics().continuation("refused");
+      }
+      survival.release();
       String responder = CallFormat.replicaId(head.fields());
       if (response.isMisdirected()) {
         coldSend.withdraw();
@@ -1094,6 +1174,9 @@
         return;
       }
       end();
+      if (!outbound.isSent()) {
+        survival.release();
+      }
       if (!outbound.isSent() && isObsolete()) {
         context.log().event("not-sent", "request", request.id(), "replica", replica.entry().id());
         excludeReplica();
@@ -1142,11 +1225,10 @@
     private void responseLost(String detail) {
       attemptEnd = "upstream failed";
       replicaLost();
-      if (isStreaming && !route.isResumable()) {
-        giveUp(detail);
-      } else {
-        retryOrGiveUp(detail);
+      if (!hasForwardedEvents && continuation.isPresent()) {
+        context.metrics().continuation("failed");
       }
+      retryOrGiveUp(detail);
     }
   }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -31,6 +31,7 @@
 import org.bulrushpier.site.KeyFreshness;
 import org.bulrushpier.site.KnownConfiguration;
 import org.bulrushpier.site.Service;
+import org.bulrushpier.survival.CopyPlacement;
 
 /**
  * State that all requests of an instance share: the known configuration and replicas, placement
@@ -61,6 +62,8 @@
   private final ConnectionPool upstreamPool;
   private final ConnectionPool controlPool;
   private final ControlClient client;
+  private final ReplicaInquiries inquiries;
+  private final CopyPlacement copyPlacement;
   private final Map<String, CacheStoreState> cacheStores = new LinkedHashMap<>();
   private final Set<Replica> unverified = new HashSet<>();
   private final EventLog log = new EventLog();
@@ -84,6 +87,8 @@
     upstreamPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     controlPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     client = new ControlClient(loop, controlPool);
+    inquiries = new ReplicaInquiries(client);
+    copyPlacement = CopyPlacement.of(peerLoads, ThreadLocalRandom.current());
   }
 
   EventLoop loop() {
@@ -174,6 +179,15 @@
     return client;
   }
 
+  /** Returns what engines were asked to find out whether they are alive. */
+  ReplicaInquiries inquiries() {
+    return inquiries;
+  }
+
+  CopyPlacement copyPlacement() {
+    return copyPlacement;
+  }
+
   /** Returns the guard against prompt parts that crash engines. */
   PoisonGuard poison() {
     return poison;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -83,6 +83,12 @@
   private final Counter placedAtCold =
       counter("bulrushpier.cold.placed", "Requests placed at cold replicas");
 
+  private final Counter copies =
+      counter("bulrushpier.copies.ordered", "Copies of runs ordered at other replicas");
+  private final Counter copiedTokens =
+      counter("bulrushpier.copies.tokens", "Tokens of the runs whose copies were ordered");
+  private final Map<String, Counter> continuations = new HashMap<>();
+
   private final Timer outdatedWeights =
       timer(
           "bulrushpier.weights.outdated",
@@ -211,6 +217,28 @@
     evacuationsApplied.increment();
   }
 
+  void copyOrdered(int tokens) {
+    copies.increment();
+    copiedTokens.increment(tokens);
+  }
+
+  /**
+   * Counts a run whose replica was lost.
+   *
+   * @param outcome continued, refused, failed or impossible
+   */
+  void continuation(String outcome) {
+    continuations
+        .computeIfAbsent(
+            outcome,
+            name ->
+                Counter.builder("bulrushpier.continuations")
+                    .description("Runs with a copy whose replica was lost, by how they went on")
+                    .tag("outcome", name)
+                    .register(registry))
+        .increment();
+  }
+
   void placed(int sharedPrefillTokens, int fetchedTokens) {
     sharedRead.increment(sharedPrefillTokens);
     fetched.increment(fetchedTokens);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -21,6 +21,7 @@
 import org.bulrushpier.site.KeyHolder;
 import org.bulrushpier.site.KnownConfiguration;
 import org.bulrushpier.site.Service;
+import org.bulrushpier.survival.CopyPlacement;
 
 /**
  * Selects a replica for one request.
@@ -101,8 +102,7 @@
             deferral.getAsLong());
       }
     }
-    Optional<Service> target =
-        context.configuration().configuration().flatMap(c -> c.service(service));
+    Optional<Service> target = target();
     Placement placement = place(target, usable, excluded, remaining, now);
     if (!(placement instanceof Placement.Send) && !candidates.starting().isEmpty()) {
       placement = place(target, candidates.usableOrStarting(), excluded, remaining, now);
@@ -175,6 +175,39 @@
     return exclusion(replica, now).filter(Exclusion::isWithdrawal).isPresent();
   }
 
+  private Optional<Service> target() {
+    return context.configuration().configuration().flatMap(c -> c.service(service));
+  }
+
+  /**
+   * Selects the replica that receives a copy of a run.
+   *
+   * @param run the replica that executes the run
+   * @param excluded the ids of replicas that must not be selected
+   * @param now the current monotonic time, in milliseconds
+   * @return the replica, or empty if the run gets no copy
+   */
+  Optional<Replica> chooseCopyHolder(Replica run, Set<String> excluded, long now) {
+    return prompt.isPresent()
+            && target().orElse(null) instanceof Service.Engines engines
+            && CopyPlacement.isWanted(route, engines, prompt.get())
+        ? context
+            .copyPlacement()
+            .choose(
+                prompt.get(),
+                engines,
+                run,
+                context.replicas().replicasOf(service),
+                replica -> !excluded.contains(replica.entry().id()) && mayReceive(replica, now),
+                now)
+        : Optional.empty();
+  }
+
+  /** Returns whether a replica may get the request now. */
+  boolean mayReceive(Replica replica, long now) {
+    return context.evacuations().areKnown() && exclusion(replica, now).isEmpty();
+  }
+
   private Placement placeOnEngine(
       Service.Engines engines,
       List<Replica> usable,
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Survival.java
@@ -0,0 +1,133 @@
+package org.bulrushpier.daemon.serve;
+
+import java.util.Optional;
+import java.util.Set;
+import org.bulrushpier.MonotonicClock;
+import org.bulrushpier.call.CallerRequest;
+import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.placing.CachePlan;
+import org.bulrushpier.placing.Placement;
+import org.bulrushpier.replica.Replica;
+import org.bulrushpier.site.ConfiguredRoute;
+import org.bulrushpier.survival.RunCopy;
+import org.bulrushpier.survival.RunCopy.Continuation;
+import org.bulrushpier.survival.SilenceWatch;
+
+/**
+ * The copy of one request's run, from which the run goes on if its replica is lost.
+ *
+ * <p>Guarded by the loop's lock.
+ */
+final class Survival {
+
+  private final GatewayContext context;
+  private final CallerRequest request;
+  private final ReplicaSelection selection;
+  private final Set<String> triedReplicas;
+  private final SilenceWatch silence;
+  private final Optional<RunCopy> copy;
+
+  Survival(
+      GatewayContext context,
+      CallerRequest request,
+      ConfiguredRoute route,
+      ReplicaSelection selection,
+      Set<String> triedReplicas) {
+    this.context = context;
+    this.request = request;
+    this.selection = selection;
+    this.triedReplicas = triedReplicas;
+    silence = SilenceWatch.of(route.gapMillis());
+    copy = request.prompt().map(prompt -> RunCopy.of(request.id(), prompt));
+  }
+
+  /**
+   * Orders a copy with a send of the request, if its run is to have one.
+   *
+   * @return the address of the holder, or empty
+   */
+  String order(Replica run, int weightVersion) {
+    release();
+    // Without an id, the copy could not be named.
+    Optional<Replica> holder =
+        request.id().isEmpty()
+            ? Optional.empty()
+            : selection.chooseCopyHolder(run, triedReplicas, MonotonicClock.millis());
+    if (holder.isEmpty()) {
+      return "";
+    }
+    copy.get().ordered(holder.get(), weightVersion);
+    context.metrics().copyOrdered(request.prompt().map(PromptShape::totalTokens).orElse(0));
+    return holder.get().entry().address().toString();
+  }
+
+  /** Returns the id of the holder of the copy, or empty without a copy. */
+  String holder() {
+    return copy.flatMap(RunCopy::holder).map(holder -> holder.entry().id()).orElse("");
+  }
+
+  /** Decides whether the run may go on now. */
+  Continuation continuation(long nowMillis) {
+    return copy.map(c -> c.continuation(replica -> selection.mayReceive(replica, nowMillis)))
+        .orElse(new Continuation.Lost("there is no copy of its run"));
+  }
+
+  /** Returns the placement of a run that goes on, for which its copy is used. */
+  Placement.Send use(Continuation.GoOn continuation) {
+    copy.get().used();
+    return new Placement.Send(continuation.holder(), CachePlan.EMPTY, 0, 0, false);
+  }
+
+  /**
+   * Returns whether a silent stream's replica is taken to be gone. Asks it and the holder of the
+   * copy if that is not known.
+   */
+  boolean isGone(Replica run, long lastEventMillis, long nowMillis) {
+    Optional<Replica> holder = copy.flatMap(RunCopy::holder);
+    long silentSinceMillis = Math.max(lastEventMillis, run.lastActivityMillis());
+    if (holder.isEmpty() || !silence.isSuspicious(silentSinceMillis, nowMillis)) {
+      return false;
+    }
+    ReplicaInquiries inquiries = context.inquiries();
+    return switch (silence.judge(
+        silentSinceMillis, inquiries.of(run), inquiries.of(holder.get()), nowMillis)) {
+      case WAIT -> false;
+      case ASK -> {
+        inquiries.ask(run);
+        inquiries.ask(holder.get());
+        yield false;
+      }
+      case GONE -> true;
+    };
+  }
+
+  /** Logs that the run goes on at the holder of its copy. */
+  void logGoesOn(Replica holder, long lastEvent, long silentMillis, String attemptEnd) {
+    context
+        .log()
+        .event(
+            "goes-on",
+            "request",
+            request.id(),
+            "replica",
+            holder.entry().id(),
+            "lastEvent",
+            lastEvent,
+            "silentMs",
+            silentMillis,
+            "attemptEnd",
+            attemptEnd);
+  }
+
+  /** Counts a run with a copy that cannot go on. */
+  void lost() {
+    if (copy.flatMap(RunCopy::holder).isPresent()) {
+      context.metrics().continuation("impossible");
+    }
+  }
+
+  /** Records that the copy is no longer needed. */
+  void release() {
+    copy.ifPresent(RunCopy::release);
+  }
+}
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -46,6 +46,9 @@
   private final CachedParts parts = new CachedParts();
   private final Map<String, InFlightRequest> inFlight = new LinkedHashMap<>();
 
+  /** The tokens of the copies that this instance has ordered here, by request. */
+  private final Map<String, Integer> copies = new HashMap<>();
+
   Replica(ReplicaEntry entry) {
     this.entry = entry;
     versions.putAll(entry.weightVersions());
@@ -469,6 +472,34 @@
     return millis;
   }
 
+  /**
+   * Adds the copy of a run that another replica executes.
+   *
+   * @param request the id of the request
+   * @param tokens the tokens that the copy occupies when the run ends
+   */
+  public void beginCopy(String request, int tokens) {
+    copies.put(request, tokens);
+  }
+
+  /**
+   * Removes a copy that is used or no longer needed.
+   *
+   * @param request the id of the request
+   */
+  public void endCopy(String request) {
+    copies.remove(request);
+  }
+
+  /** Returns the number of tokens that the copies ordered by this instance occupy. */
+  public long copyTokens() {
+    long tokens = 0;
+    for (int copy : copies.values()) {
+      tokens += copy;
+    }
+    return tokens;
+  }
+
   /** Returns the load that this instance puts on the replica, as it is told to others. */
   public UpstreamLoad ownLoad() {
     List<Long> pendingTokens = new ArrayList<>();
--- a/library/src/main/java/org/bulrushpier/site/Service.java
+++ b/library/src/main/java/org/bulrushpier/site/Service.java
@@ -49,6 +49,7 @@
    * @param bytesPerToken the cache memory used by a token, in bytes
    * @param linkMbps the rate of an engine's link for cache transfers, in Mbit/s
    * @param isManaged whether cache parts may be fetched and saved individually
+   * @param hasCopies whether an engine sends a copy of a run to another one if a request says so
    * @param models the names of the models that its engines serve
    * @param coldStart what its engines bear after their start
    */
@@ -60,6 +61,7 @@
       long bytesPerToken,
       double linkMbps,
       boolean isManaged,
+      boolean hasCopies,
       List<String> models,
       ColdStart coldStart)
       implements Service {
--- /dev/null
+++ b/library/src/main/java/org/bulrushpier/survival/Inquiry.java
@@ -0,0 +1,58 @@
+package org.bulrushpier.survival;
+
+/**
+ * When a replica was last asked whether it is alive, and when it last answered.
+ *
+ * <p>Not thread-safe; guarded by the lock of the gateway's event loop.
+ */
+public final class Inquiry {
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private long askedMillis = NEVER;
+  private long answeredMillis = NEVER;
+
+  /**
+   * Records that the replica was asked.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void asked(long nowMillis) {
+    askedMillis = nowMillis;
+  }
+
+  /**
+   * Records that the replica has answered.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void answered(long nowMillis) {
+    answeredMillis = nowMillis;
+  }
+
+  /**
+   * Checks whether the replica may be asked again.
+   *
+   * @param intervalMillis the shortest interval between two questions, in milliseconds
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return true if the last question is at least that long ago
+   */
+  public boolean isDue(long intervalMillis, long nowMillis) {
+    return nowMillis - askedMillis >= intervalMillis;
+  }
+
+  /** Returns the monotonic time at which the replica was last asked, in milliseconds. */
+  long askedMillis() {
+    return askedMillis;
+  }
+
+  /** Returns the monotonic time at which the replica last answered, in milliseconds. */
+  long answeredMillis() {
+    return answeredMillis;
+  }
+
+  /** Returns whether the replica has answered since it was last asked. */
+  boolean isAnswered() {
+    return answeredMillis >= askedMillis;
+  }
+}
--- a/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
@@ -50,6 +50,7 @@
           35_000,
           740_000,
           true,
+          false,
           List.of("m"),
           Service.ColdStart.NONE);
   private final Random random = new Random(5);
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/CallerFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/CallerFake.java
@@ -164,6 +164,7 @@
     return ("{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"plain\",\"max_conns\":50},"
             + "{\"name\":\"engines\",\"max_conns\":50,\"engine\":{\"slots\":6,"
             + "\"kv_capacity\":50000,\"kv_bytes\":1000,\"link_mbps\":1000.0,"
+            + "\"backups\":true,"
             + "\"models\":[{\"name\":\"m0\"}]}}],\"limits\":{\"idle_timeout_ms\":%d},"
             + "\"tenants\":[%s]}")
         .formatted(version, routes, idleTimeoutMillis, customers);
--- a/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
@@ -33,6 +33,16 @@
             "r1", 1, "/", Map.of("attempt-id", "c1", "tenant", customer), "", arrivedMillis));
   }
 
+  private void goOn(String customer) {
+    observer.executionStarts(
+        new Execution(
+            "r2",
+            1,
+            "/",
+            Map.of("attempt-id", "c1", "tenant", customer, "kv-from", "127.0.0.1:9/c1"),
+            ""));
+  }
+
   private static Answer answer(int status, String body) {
     return new Answer(status, "c1", body, true, "");
   }
@@ -101,6 +111,18 @@
     assertViolated(Promise.ONCE);
   }
 
+  @Test
+  void secondExecutionOfStreamThatMayNotBeResumedIsFoundUnlessItGoesOnFromItsCopy() {
+    begin(Route.NOTE);
+    execute("ate");
+    goOn("ate");
+    assertThat(observer.violations()).isEmpty();
+
+    execute("ate");
+
+    assertViolated(Promise.ONCE);
+  }
+
   @Test
   void refusalAfterExecutionIsFound() {
     Call call = begin(Route.SAFE);
