--- a/library/src/test/java/org/bulrushpier/placing/ManyInstancesTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/ManyInstancesTest.java
@@ -17,7 +17,16 @@
 
   private static final Service.Engines SERVICE =
       new Service.Engines(
-          "engines", 300, 24, 39_600, 18_432, 550_000, true, List.of("m"), Service.ColdStart.NONE);
+          "engines",
+          300,
+          24,
+          39_600,
+          18_432,
+          550_000,
+          true,
+          false,
+          List.of("m"),
+          Service.ColdStart.NONE);
   private static final int URGENT = 0;
   private static final int LESS_URGENT = 1;
   private static final int URGENT_PERCENT = 52;
--- a/library/src/test/java/org/bulrushpier/placing/ScarcityTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/ScarcityTest.java
@@ -17,7 +17,16 @@
 
   private static final Service.Engines SERVICE =
       new Service.Engines(
-          "engines", 300, 64, 47_100, 163_840, 550_000, true, List.of("m"), Service.ColdStart.NONE);
+          "engines",
+          300,
+          64,
+          47_100,
+          163_840,
+          550_000,
+          true,
+          false,
+          List.of("m"),
+          Service.ColdStart.NONE);
   private static final int INSTANCES = 26;
   private static final int URGENT = 0;
   private static final int LESS_URGENT = 2;
--- a/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
@@ -40,7 +40,8 @@
             1,
             "/",
             Map.of("attempt-id", "c1", "tenant", customer, "kv-from", "127.0.0.1:9/c1"),
-            ""));
+            "",
+            0));
   }
 
   private static Answer answer(int status, String body) {
