--- a/library/src/main/java/org/bulrushpier/survival/CopyPlacement.java
+++ b/library/src/main/java/org/bulrushpier/survival/CopyPlacement.java
@@ -85,7 +85,8 @@
    * @param replicas the replicas of the service
    * @param mayReceive whether a replica may get this request now
    * @param nowMillis the current monotonic time, in milliseconds
-   * @return the holder, or empty if none of the drawn replicas is suitable
+   * @return the holder, or empty if none of the drawn replicas is suitable, or if as many of them
+   *     are full as have room, so that memory is scarce in the whole service
    */
   public Optional<Replica> choose(
       PromptShape prompt,
@@ -98,21 +99,28 @@
     Replica best = null;
     boolean isBestApart = false;
     long least = 0;
+    int full = 0;
+    int roomy = 0;
     for (int i = 0; i < DRAWS && !replicas.isEmpty(); i++) {
       Replica drawn = replicas.get(random.nextInt(replicas.size()));
       if (!isSuitable(drawn, run, prompt.model(), nowMillis) || !mayReceive.test(drawn)) {
         continue;
       }
       long held = heldTokens(drawn);
+      if (held > limit) {
+        full++;
+        continue;
+      }
+      roomy++;
       boolean isApart = !drawn.entry().domain().equals(run.entry().domain());
       boolean isBetter = best == null || (isApart == isBestApart ? held < least : isApart);
-      if (held <= limit && isBetter) {
+      if (isBetter) {
         best = drawn;
         isBestApart = isApart;
         least = held;
       }
     }
-    return Optional.ofNullable(best);
+    return full >= roomy ? Optional.empty() : Optional.ofNullable(best);
   }
 
   private static boolean isSuitable(Replica replica, Replica run, String model, long nowMillis) {
