Let customers take turns by weighted fair queueing while engines are short

Cause: waiting requests of a priority left in order of arrival, so a burst of one customer stood before the requests of all others. Change: within a priority the order is that of start tags, a customer's waiting work in relation to its usual demand (CustomerShares, docs/design/fair-sharing.md). A request is refused at once only if the turns before its own take too long. Nothing changes while nothing waits, or for one customer. Each instance shares what it sees; one account of a customer over all instances is not built. Tests: burstOfOneCustomerIsPaidByIt, lastingShortageIsSharedInProportionToUsualDemand and a property of order and loss.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -10,6 +10,7 @@
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.CallFormat;
 import org.bulrushpier.call.CallerRequest;
+import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.call.UpstreamResponse;
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.ConnectionPool;
@@ -184,6 +185,9 @@
       return;
     }
     context.retryBudget(service).recordFirstAttempt(arrivedMillis);
+    if (request.prompt().isPresent()) {
+      queue().arrived(holder.customer(), promptTokens(), selection.priority(), arrivedMillis);
+    }
     place();
   }
 
@@ -205,7 +209,9 @@
     }
     if (request.prompt().isEmpty() || attempts > 0 || !queue().isAhead(selection.priority())) {
       tryPlace();
-    } else if (queue().isFull(selection.priority(), route.goalMillis(), MonotonicClock.millis())) {
+    } else if (queue()
+        .isFull(
+            holder.customer(), selection.priority(), route.goalMillis(), MonotonicClock.millis())) {
       refuseOverloaded("too many other requests wait for an engine");
     } else {
       await(new Placement.Wait("other requests wait for an engine"));
@@ -216,10 +222,21 @@
     return context.placementQueue(selection.service());
   }
 
+  private int promptTokens() {
+    return request.prompt().map(PromptShape::totalTokens).orElse(0);
+  }
+
   /** Waits for an engine. */
   private void await(Placement.Wait placement) {
     if (wait == null) {
-      queue().add(this, selection.priority(), route.goalMillis(), MonotonicClock.millis());
+      queue()
+          .add(
+              this,
+              holder.customer(),
+              promptTokens(),
+              selection.priority(),
+              route.goalMillis(),
+              MonotonicClock.millis());
     }
     wait = placement;
   }
--- a/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
@@ -24,7 +24,8 @@
  * rate of the last placements, comes after its permitted wait is not to be added. Less urgent
  * requests that wait do not count for a more urgent one.
  *
- * <p>Invariant: requests leave in order of priority and, within a priority, of arrival. Not
+ * <p>Invariant: requests leave in order of priority; within a priority customers take turns
+ * according to their usual demand, and the requests of a customer leave in order of arrival. Not
  * thread-safe; guarded by the lock of the gateway's event loop.
  *
  * @param <T> the type of the requests
@@ -47,12 +48,21 @@
   private static final long MAX_RETRY_MILLIS = 5_000;
 
   private record Entry<T>(
-      T request, int priority, long sequence, long queuedMillis, long goalMillis) {}
+      T request,
+      String customer,
+      double cost,
+      int priority,
+      double start,
+      long sequence,
+      long queuedMillis,
+      long goalMillis) {}
 
   private final TreeSet<Entry<T>> entries =
       new TreeSet<>(
           Comparator.comparingInt((Entry<T> entry) -> entry.priority)
+              .thenComparingDouble(entry -> entry.start)
               .thenComparingLong(entry -> entry.sequence));
+  private final Map<Integer, CustomerShares> shares = new HashMap<>();
   private final Map<Integer, ArrayDeque<Long>> placedMillis = new HashMap<>();
   private final Map<Integer, Occupancy> occupancies = new TreeMap<>();
   private long nextSequence;
@@ -85,18 +95,39 @@
     return !entries.isEmpty() && entries.first().priority <= priority;
   }
 
+  /**
+   * Records the arrival of a request, whether or not it has to wait.
+   *
+   * @param customer the name of its customer
+   * @param tokens its size, in tokens
+   * @param priority its priority, 0 being the most urgent
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void arrived(String customer, int tokens, int priority, long nowMillis) {
+    sharesOf(priority).arrived(customer, tokens, nowMillis);
+  }
+
+  private CustomerShares sharesOf(int priority) {
+    return shares.computeIfAbsent(priority, p -> new CustomerShares());
+  }
+
   /**
    * Checks whether a new request would wait in vain, as too many others of its priority have their
    * turn before it in a standing queue. The effect of more urgent requests shows in the rate at
    * which those of its priority were placed.
    *
+   * @param customer the name of its customer
    * @param priority the priority of the new request, 0 being the most urgent
    * @param goalMillis its latency objective, in milliseconds
    * @param nowMillis the current monotonic time, in milliseconds
    * @return true if it is expected to exceed its permitted wait
    */
-  public boolean isFull(int priority, long goalMillis, long nowMillis) {
-    long ahead = entries.stream().filter(entry -> entry.priority == priority).count();
+  public boolean isFull(String customer, int priority, long goalMillis, long nowMillis) {
+    double start = sharesOf(priority).nextStart(customer);
+    long ahead =
+        entries.stream()
+            .filter(entry -> entry.priority == priority && entry.start <= start)
+            .count();
     if (ahead == 0 || !isStanding(priority, nowMillis)) {
       return false;
     }
@@ -116,11 +147,14 @@
    * Adds a request.
    *
    * @param request the request
+   * @param customer the name of its customer
+   * @param tokens its size, in tokens
    * @param priority its priority, 0 being the most urgent
    * @param goalMillis its latency objective, in milliseconds
    * @param nowMillis the current monotonic time, in milliseconds
    */
-  public void add(T request, int priority, long goalMillis, long nowMillis) {
+  public void add(
+      T request, String customer, int tokens, int priority, long goalMillis, long nowMillis) {
     occupancies.computeIfAbsent(priority, p -> new Occupancy(nowMillis));
     occupancies.forEach(
         (waiting, occupancy) -> {
@@ -131,7 +165,12 @@
             occupancy.lastMillis = nowMillis;
           }
         });
-    entries.add(new Entry<>(request, priority, nextSequence++, nowMillis, goalMillis));
+    CustomerShares order = sharesOf(priority);
+    double cost = order.cost(customer, tokens, nowMillis);
+    double start = order.charge(customer, cost);
+    entries.add(
+        new Entry<>(
+            request, customer, cost, priority, start, nextSequence++, nowMillis, goalMillis));
   }
 
   /**
@@ -142,12 +181,21 @@
    */
   public void placed(T request, long nowMillis) {
     recordOccupancy(nowMillis);
-    for (Entry<T> entry : entries) {
+    for (Iterator<Entry<T>> it = entries.iterator(); it.hasNext(); ) {
+      Entry<T> entry = it.next();
       if (entry.request == request) {
+        it.remove();
         recentPlacements(entry.priority, nowMillis).addLast(nowMillis);
+        sharesOf(entry.priority).placed(entry.start);
+        settleIfNoneWaits(entry.priority);
       }
     }
-    remove(request);
+  }
+
+  private void settleIfNoneWaits(int priority) {
+    if (entries.stream().noneMatch(entry -> entry.priority == priority)) {
+      sharesOf(priority).settle();
+    }
   }
 
   private void recordOccupancy(long nowMillis) {
@@ -165,7 +213,18 @@
    * @param request the request
    */
   public void remove(T request) {
-    entries.removeIf(entry -> entry.request == request);
+    for (Iterator<Entry<T>> it = entries.iterator(); it.hasNext(); ) {
+      Entry<T> entry = it.next();
+      if (entry.request == request) {
+        it.remove();
+        unplaced(entry);
+      }
+    }
+  }
+
+  private void unplaced(Entry<T> entry) {
+    sharesOf(entry.priority).refund(entry.customer, entry.cost);
+    settleIfNoneWaits(entry.priority);
   }
 
   /** Returns the next request to place, or empty if none is waiting. */
@@ -188,6 +247,7 @@
           isStanding(entry.priority, nowMillis) ? STANDING_WAIT_FACTOR : BURST_WAIT_FACTOR;
       if (nowMillis - entry.queuedMillis > factor * entry.goalMillis) {
         it.remove();
+        unplaced(entry);
         expired.add(entry.request);
       }
     }
--- a/library/src/test/java/org/bulrushpier/placing/FleetSimulation.java
+++ b/library/src/test/java/org/bulrushpier/placing/FleetSimulation.java
@@ -126,11 +126,11 @@
     void arrive(Call call) {
       calls.add(call);
       call.receiver = this;
-      if (queue.isAhead(call.priority) && queue.isFull(call.priority, call.goal, now)) {
+      if (queue.isAhead(call.priority) && queue.isFull("c", call.priority, call.goal, now)) {
         return;
       }
       if (queue.isAhead(call.priority) || !place(call)) {
-        queue.add(call, call.priority, call.goal, now);
+        queue.add(call, "c", 1, call.priority, call.goal, now);
       }
     }
 
--- a/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
@@ -108,10 +108,10 @@
 
     void arrive(Call call) {
       calls.add(call);
-      if (queue.isAhead(call.priority) && queue.isFull(call.priority, GOAL_MILLIS, now)) {
+      if (queue.isAhead(call.priority) && queue.isFull("c", call.priority, GOAL_MILLIS, now)) {
         call.refusedMillis = now;
       } else if (queue.isAhead(call.priority) || !place(call)) {
-        queue.add(call, call.priority, GOAL_MILLIS, now);
+        queue.add(call, "c", 1, call.priority, GOAL_MILLIS, now);
       }
     }
 
--- a/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlacementQueueTest.java
@@ -2,7 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
 class PlacementQueueTest {
@@ -13,9 +21,9 @@
 
   @Test
   void urgentRequestsLeaveFirstAndEqualOnesInOrderOfArrival() {
-    queue.add("late", 2, GOAL_MILLIS, 0);
-    queue.add("first", 1, GOAL_MILLIS, 1);
-    queue.add("second", 1, GOAL_MILLIS, 2);
+    queue.add("late", "c", 1, 2, GOAL_MILLIS, 0);
+    queue.add("first", "c", 1, 1, GOAL_MILLIS, 1);
+    queue.add("second", "c", 1, 1, GOAL_MILLIS, 2);
 
     assertThat(queue.head()).contains("first");
     queue.remove("first");
@@ -26,7 +34,7 @@
 
   @Test
   void onlyRequestsThatAreAtLeastAsUrgentAreAhead() {
-    queue.add("waiting", 1, GOAL_MILLIS, 0);
+    queue.add("waiting", "c", 1, 1, GOAL_MILLIS, 0);
 
     assertThat(queue.isAhead(0)).isFalse();
     assertThat(queue.isAhead(1)).isTrue();
@@ -35,7 +43,7 @@
 
   @Test
   void requestWaitsForTheLengthOfItsObjectiveInShortQueue() {
-    queue.add("r", 1, GOAL_MILLIS, 0);
+    queue.add("r", "c", 1, 1, GOAL_MILLIS, 0);
 
     assertThat(queue.removeExpired(GOAL_MILLIS)).isEmpty();
     assertThat(queue.removeExpired(GOAL_MILLIS + 1)).containsExactly("r");
@@ -47,10 +55,10 @@
   void requestsExpireSoonerInStandingQueue() {
     long now = 0;
     for (; now <= PlacementQueue.STANDING_MILLIS; now += 100) {
-      queue.add("r" + now, 1, GOAL_MILLIS, now);
+      queue.add("r" + now, "c", 1, 1, GOAL_MILLIS, now);
       queue.removeExpired(now);
     }
-    queue.add("new", 1, GOAL_MILLIS, now);
+    queue.add("new", "c", 1, 1, GOAL_MILLIS, now);
 
     assertThat(queue.isStanding(now)).isTrue();
     assertThat(queue.removeExpired(now + GOAL_MILLIS / 2)).contains("new");
@@ -61,10 +69,10 @@
     for (; now <= PlacementQueue.STANDING_MILLIS + 100; now += 100) {
       for (int i = 0; i < placementsPerStep; i++) {
         String placed = "placed" + now + "-" + i;
-        queue.add(placed, 1, GOAL_MILLIS, now);
+        queue.add(placed, "c", 1, 1, GOAL_MILLIS, now);
         queue.placed(placed, now);
       }
-      queue.add("r" + now, 1, GOAL_MILLIS, now);
+      queue.add("r" + now, "c", 1, 1, GOAL_MILLIS, now);
       queue.removeExpired(now);
     }
     return now;
@@ -75,8 +83,8 @@
   void requestWhoseTurnComesTooLateIsNotHeldInStandingQueue() {
     long now = fillStandingQueue(1);
 
-    assertThat(queue.isFull(1, GOAL_MILLIS, now)).isTrue();
-    assertThat(queue.isFull(0, GOAL_MILLIS, now)).isFalse();
+    assertThat(queue.isFull("c", 1, GOAL_MILLIS, now)).isTrue();
+    assertThat(queue.isFull("c", 0, GOAL_MILLIS, now)).isFalse();
   }
 
   @Test
@@ -84,14 +92,14 @@
     long now = fillStandingQueue(4);
 
     assertThat(queue.isStanding(now)).isTrue();
-    assertThat(queue.isFull(1, GOAL_MILLIS, now)).isFalse();
+    assertThat(queue.isFull("c", 1, GOAL_MILLIS, now)).isFalse();
   }
 
   private long alternate(long fromMillis, long forMillis) {
     long now = fromMillis;
     for (; now < fromMillis + forMillis; now += 50) {
       String request = "r" + now;
-      queue.add(request, 1, GOAL_MILLIS, now);
+      queue.add(request, "c", 1, 1, GOAL_MILLIS, now);
       queue.placed(request, now + 20);
     }
     return now;
@@ -100,7 +108,7 @@
   /** Engines become free in groups, so a standing queue is empty at times. */
   @Test
   void standingQueueRemainsStandingWhileItIsEmptyForMoments() {
-    queue.add("r", 1, GOAL_MILLIS, 0);
+    queue.add("r", "c", 1, 1, GOAL_MILLIS, 0);
     queue.placed("r", PlacementQueue.STANDING_MILLIS + 20);
     long now = alternate(PlacementQueue.STANDING_MILLIS + 50, 2_000);
 
@@ -119,7 +127,7 @@
   @Test
   void standingLessUrgentRequestsDoNotShortenTheWaitOfUrgentOnes() {
     long now = fillStandingQueue(1);
-    queue.add("urgent", 0, GOAL_MILLIS, now);
+    queue.add("urgent", "c", 1, 0, GOAL_MILLIS, now);
 
     assertThat(queue.removeExpired(now + GOAL_MILLIS / 2)).doesNotContain("urgent");
     assertThat(queue.removeExpired(now + GOAL_MILLIS + 1)).contains("urgent");
@@ -127,27 +135,101 @@
         .isLessThanOrEqualTo(GOAL_MILLIS * 3 / 2);
   }
 
+  /** A burst of one customer waits behind the others instead of in front of them. */
+  @Test
+  void burstOfOneCustomerIsPaidByIt() {
+    long now = 0;
+    for (; now < 20_000; now += 100) {
+      queue.arrived("steady", 1_000, 1, now);
+      queue.arrived("bursting", 1_000, 1, now);
+    }
+    for (int i = 0; i < 20; i++) {
+      queue.arrived("bursting", 1_000, 1, now);
+      queue.add("b" + i, "bursting", 1_000, 1, GOAL_MILLIS, now);
+    }
+    for (int i = 0; i < 3; i++) {
+      queue.arrived("steady", 1_000, 1, now);
+      queue.add("s" + i, "steady", 1_000, 1, GOAL_MILLIS, now);
+    }
+
+    assertThat(leaving(10, now)).contains("s0", "s1", "s2", "b0", "b1");
+  }
+
+  private List<String> leaving(int count, long now) {
+    List<String> left = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      left.add(queue.head().orElseThrow());
+      queue.placed(left.get(i), now);
+    }
+    return left;
+  }
+
+  /** Served in proportion to their usual demand, large customers are not worse off than small. */
+  @Test
+  void lastingShortageIsSharedInProportionToUsualDemand() {
+    Random random = new Random(4);
+    Map<String, Integer> placed = new HashMap<>();
+    long now = 0;
+    for (int i = 0; now < 30_000; now += 20) {
+      for (int arrival = 0; arrival < 2; arrival++) {
+        String customer = random.nextInt(10) < 8 ? "large" : "small";
+        int tokens = 500 + random.nextInt(1_000);
+        queue.arrived(customer, tokens, 1, now);
+        queue.add(customer + i++, customer, tokens, 1, GOAL_MILLIS, now);
+      }
+      queue.removeExpired(now);
+      String next = queue.head().orElseThrow();
+      queue.placed(next, now);
+      placed.merge(next.substring(0, 5), 1, Integer::sum);
+    }
+
+    assertThat(placed.get("small") / (double) placed.get("large")).isBetween(0.18, 0.4);
+  }
+
+  @Property(tries = 200)
+  void requestsOfOneCustomerLeaveInOrderOfArrivalAndNoneIsLost(
+      @ForAll @Size(min = 1, max = 60) List<@IntRange(min = 0, max = 3) Integer> customers,
+      @ForAll @IntRange(min = 1, max = 9) int removed) {
+    PlacementQueue<Integer> fair = new PlacementQueue<>();
+    for (int i = 0; i < customers.size(); i++) {
+      fair.arrived("c" + customers.get(i), 100 + 37 * i % 900, 1, i);
+      fair.add(i, "c" + customers.get(i), 100 + 37 * i % 900, 1, GOAL_MILLIS, i);
+      if (i % removed == 1) {
+        fair.remove(i - 1);
+      }
+    }
+    Map<Integer, Integer> last = new HashMap<>();
+    int size = fair.size();
+    for (int i = 0; i < size; i++) {
+      int next = fair.head().orElseThrow();
+      fair.placed(next, 100);
+      assertThat(next).isGreaterThan(last.getOrDefault(customers.get(next), -1));
+      last.put(customers.get(next), next);
+    }
+    assertThat(fair.size()).isZero();
+  }
+
   @Test
   void shortLivedQueueIsNeverFull() {
     for (int i = 0; i < 100; i++) {
-      queue.add("r" + i, 1, GOAL_MILLIS, 0);
+      queue.add("r" + i, "c", 1, 1, GOAL_MILLIS, 0);
     }
 
-    assertThat(queue.isFull(1, GOAL_MILLIS, PlacementQueue.STANDING_MILLIS / 2)).isFalse();
+    assertThat(queue.isFull("c", 1, GOAL_MILLIS, PlacementQueue.STANDING_MILLIS / 2)).isFalse();
   }
 
   @Test
   void queueThatWasEmptyIsNotStanding() {
-    queue.add("old", 1, GOAL_MILLIS, 0);
+    queue.add("old", "c", 1, 1, GOAL_MILLIS, 0);
     queue.remove("old");
-    queue.add("new", 1, GOAL_MILLIS, 5_000);
+    queue.add("new", "c", 1, 1, GOAL_MILLIS, 5_000);
 
     assertThat(queue.isStanding(5_100)).isFalse();
   }
 
   @Test
   void refusedCallersReturnLaterTheLongerTheOverloadLasts() {
-    queue.add("r", 1, GOAL_MILLIS, 0);
+    queue.add("r", "c", 1, 1, GOAL_MILLIS, 0);
 
     for (int seed = 0; seed < 50; seed++) {
       Random random = new Random(seed);
