--- a/library/src/test/java/org/bulrushpier/placing/CandidatesTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/CandidatesTest.java
@@ -118,4 +118,26 @@
                     || reasons.contains(Optional.of(Exclusion.OUTSIDE_HOMES)))
                 && lasting.containsAll(candidates.excluded().keySet()));
   }
+
+  @Test
+  void requestWaitsIfItWouldBeRefusedOnlyBecauseReplicasAreCold() {
+    Placement refused = new Placement.Refuse("no engine can take it", 100);
+    Replica cold = replica(0);
+    exclusions.put(cold, Exclusion.COLD);
+    assertThat(candidates().orWait(refused, Set.of())).isInstanceOf(Placement.Wait.class);
+
+    replica(1);
+    assertThat(candidates().orWait(refused, Set.of())).isEqualTo(refused);
+    assertThat(candidates().orWait(refused, Set.of("e1"))).isInstanceOf(Placement.Wait.class);
+  }
+
+  @Test
+  void replicaThatHasJustStartedIsKeptForRequestsThatNoOtherCanTake() {
+    Replica starting = replica(0);
+    exclusions.put(starting, Exclusion.STARTING);
+    Replica other = replica(1);
+
+    assertThat(candidates().usable()).containsExactly(other);
+    assertThat(candidates().usableOrStarting()).containsExactlyInAnyOrder(other, starting);
+  }
 }
