Pace replicas that have just started only where the settings ask for it

Change: the setting pace-started-replicas, default no, which the template leaves off. The limit of cold replicas stays.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/PaceGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/PaceGuard.java
@@ -45,8 +45,11 @@
     places = source;
   }
 
-  /** Returns whether the configuration or the replicas themselves call for a pace. */
+  /** Returns whether the settings ask for paces, and the configuration or replicas need them. */
   private boolean isPaced(Replica replica) {
+    if (!context.settings().isStartPaced()) {
+      return false;
+    }
     String service = replica.entry().service();
     return context.coldStart(service).perSecond() > 0 || servicesWithDuration.contains(service);
   }
--- a/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
+++ b/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
@@ -37,6 +37,7 @@
  *     the others, or 0 if each instance reads it
  * @param region the region of the failure domain, or empty
  * @param domainRegions the region of each failure domain of the site, by the name of the domain
+ * @param isStartPaced whether the load of replicas that have just started grows with their answers
  */
 public record GatewaySettings(
     String name,
@@ -59,7 +60,8 @@
     double coldSlack,
     int storeReaders,
     String region,
-    Map<String, String> domainRegions) {
+    Map<String, String> domainRegions,
+    boolean isStartPaced) {
 
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final long MAX_MILLIS = 3_600_000;
@@ -146,6 +148,7 @@
         reader.decimal("cold-slack", 0, MAX_COLD_SLACK, 0),
         (int) reader.integer("store-readers", 0, MAX_STORE_READERS, 0),
         reader.optional("region", ""),
-        domainRegions(reader));
+        domainRegions(reader),
+        reader.yesOrNo("pace-started-replicas", false));
   }
 }
--- a/library/src/test/java/org/bulrushpier/settings/GatewaySettingsTest.java
+++ b/library/src/test/java/org/bulrushpier/settings/GatewaySettingsTest.java
@@ -58,6 +58,7 @@
     assertThat(findings).isEmpty();
     assertThat(settings.evacuationMillis()).isZero();
     assertThat(settings.storeReaders()).isZero();
+    assertThat(settings.isStartPaced()).isFalse();
     assertThat(settings.domainRegions()).isEmpty();
   }
 
--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -354,7 +354,8 @@
         settings.coldSlack(),
         settings.storeReaders(),
         settings.region(),
-        settings.domainRegions());
+        settings.domainRegions(),
+        settings.isStartPaced());
   }
 
   private double reportingInstances(String host) {
