Look up a configured service in one place; no change of behaviour

The way from the known configuration to a service stood in ReplicaSelection, AttemptRequest and GatewayContext. All call GatewayContext.service now.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
@@ -122,9 +122,7 @@
 
   private long memoryTokens() {
     return context
-        .configuration()
-        .configuration()
-        .flatMap(c -> c.service(selection.service()))
+        .service(selection.service())
         .map(s -> s instanceof Service.Engines engines ? engines.memoryTokens() : 0L)
         .orElse(0L);
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
@@ -198,13 +199,14 @@
     return paces;
   }
 
+  /** Returns a service of the known configuration, if it has one of that name. */
+  Optional<Service> service(String name) {
+    return configuration.configuration().flatMap(known -> known.service(name));
+  }
+
   /** Returns what replicas of a service bear after their start, as far as it is configured. */
   Service.ColdStart coldStart(String service) {
-    return configuration
-        .configuration()
-        .flatMap(known -> known.service(service))
-        .map(Service::coldStart)
-        .orElse(Service.ColdStart.NONE);
+    return service(service).map(Service::coldStart).orElse(Service.ColdStart.NONE);
   }
 
   /** Returns the guard of cold replicas. */
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -176,7 +176,7 @@
   }
 
   private Optional<Service> target() {
-    return context.configuration().configuration().flatMap(c -> c.service(service));
+    return context.service(service);
   }
 
   /**
