Command that explains where a request would go now, without sending it

Operators could not tell why a request goes to a replica, waits or is refused, except from the logs of requests like it. 'bulrushpier explain' asks a running instance on its metrics address: route, customer, each replica with its predicted wait, cached parts and cost, or the reason why it is out, the choice, and what the instance believes. It decides by the policies that place requests: EnginePlacement tells its predictions of all engines (EngineEstimate), ReplicaSelection has a preview beside its choice. Nothing is sent, counted or learned, and the key is never printed.

--- a/daemon/src/main/java/org/bulrushpier/daemon/Main.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/Main.java
@@ -3,6 +3,7 @@
 import org.bulrushpier.daemon.command.CheckCommand;
 import org.bulrushpier.daemon.command.CommandExceptionHandler;
 import org.bulrushpier.daemon.command.EntryCommand;
+import org.bulrushpier.daemon.command.ExplainCommand;
 import org.bulrushpier.daemon.command.GatewayCommand;
 import org.bulrushpier.daemon.command.SettingsCommand;
 import org.bulrushpier.daemon.command.StatusCommand;
@@ -27,7 +28,8 @@
       SettingsCommand.class,
       StatusCommand.class,
       TimelineCommand.class,
-      CheckCommand.class
+      CheckCommand.class,
+      ExplainCommand.class
     })
 public final class Main {
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.bulrushpier.Hash;
 import org.bulrushpier.Moment;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.CallFormat;
@@ -132,7 +131,7 @@
     Gateway gateway = new Gateway(settings);
     gateway.loop.listen(settings.readyAddress(), gateway.new ReadinessHandler());
     gateway.loop.listen(settings.callerAddress(), gateway.new CallerHandler());
-    gateway.loop.listen(settings.metricsAddress(), gateway.new MetricsHandler());
+    gateway.loop.listen(settings.metricsAddress(), new OperatorHandler(gateway.context));
     if (settings.fleetAddress().isPresent()) {
       gateway.fleet = FleetExchange.start(settings.fleetAddress().get(), gateway.context);
       if (settings.storeReaders() > 0) {
@@ -456,15 +455,6 @@
     }
   }
 
-  /** Answers metrics scrapes. */
-  private final class MetricsHandler implements CallerConnection.Handler {
-    @Override
-    public void requestReceived(CallerConnection connection, InboundRequest request) {
-      HttpFields fields = HttpFields.build().add("Content-Type", "text/plain; version=0.0.4");
-      connection.respond(200, fields, Hash.utf8(context.metrics().scrape()));
-    }
-  }
-
   /** Handles callers' requests. */
   private final class CallerHandler implements CallerConnection.Handler {
 
--- /dev/null
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/OperatorHandler.java
@@ -0,0 +1,55 @@
+package org.bulrushpier.daemon.serve;
+
+import org.bulrushpier.Codec;
+import org.bulrushpier.Hash;
+import org.bulrushpier.adapter.CallFormat;
+import org.bulrushpier.daemon.net.CallerConnection;
+import org.bulrushpier.daemon.net.InboundRequest;
+import org.bulrushpier.daemon.net.RequestHead;
+import org.eclipse.jetty.http.HttpFields;
+
+/**
+ * Answers operators on the metrics address: the metrics, and explanations of requests.
+ *
+ * <p>Guarded by the loop's lock.
+ */
+final class OperatorHandler implements CallerConnection.Handler {
+
+  /** The path that explains the request whose head is the body of the call. */
+  static final String EXPLAIN = "/explain";
+
+  private final GatewayContext context;
+  private final Explainer explainer;
+
+  OperatorHandler(GatewayContext context) {
+    this.context = context;
+    explainer = new Explainer(context);
+  }
+
+  @Override
+  public void requestReceived(CallerConnection connection, InboundRequest request) {
+    if (request.target().equals(EXPLAIN)) {
+      explain(connection, request.body());
+    } else {
+      respond(connection, 200, "text/plain; version=0.0.4", Hash.utf8(context.metrics().scrape()));
+    }
+  }
+
+  private void explain(CallerConnection connection, byte[] head) {
+    Explanation explanation;
+    try {
+      RequestHead parsed = RequestHead.parse(head);
+      explanation =
+          explainer.explain(CallFormat.request(parsed.method(), parsed.target(), parsed.fields()));
+    } catch (IllegalArgumentException e) {
+      respond(connection, 400, "text/plain", Hash.utf8(String.valueOf(e.getMessage())));
+      return;
+    }
+    respond(connection, 200, "application/json", Codec.json().write(explanation));
+  }
+
+  private static void respond(
+      CallerConnection connection, int status, String contentType, byte[] body) {
+    connection.respond(status, HttpFields.build().add("Content-Type", contentType), body);
+  }
+}
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -5,11 +5,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 import org.bulrushpier.Moment;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.placing.CacheSalt;
 import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.placing.Candidates;
+import org.bulrushpier.placing.EngineEstimate;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.Exclusion;
 import org.bulrushpier.replica.Replica;
@@ -85,10 +87,74 @@
    * @param now the current monotonic time, in milliseconds
    */
   Placement choose(Set<String> excluded, long remaining, long now) {
+    Candidates candidates = candidates(now);
+    count(candidates);
+    Optional<Service> target = target();
+    return decide(
+        candidates, replicas -> place(target, replicas, excluded, remaining, now), excluded, now);
+  }
+
+  /**
+   * Returns where the request would go now. Nothing is counted or remembered, as it is not sent.
+   *
+   * @param remaining the time until the deadline, in milliseconds
+   * @param now the current monotonic time, in milliseconds
+   */
+  Placement preview(long remaining, long now) {
+    Optional<Service> target = target();
+    return decide(
+        candidates(now),
+        replicas ->
+            target.isPresent() && target.get() instanceof Service.Engines && prompt.isPresent()
+                ? previewOnEngine(replicas, remaining, now)
+                : place(target, replicas, Set.of(), remaining, now),
+        Set.of(),
+        now);
+  }
+
+  private Placement previewOnEngine(List<Replica> replicas, long remaining, long now) {
+    return unknownWeights()
+        .orElseGet(
+            () ->
+                context
+                    .enginePlacement()
+                    .decide(
+                        estimates(replicas, now).stream()
+                            .filter(EngineEstimate::isVersionAllowed)
+                            .findFirst(),
+                        route.goalMillis(),
+                        remaining));
+  }
+
+  /**
+   * Returns the predictions for a request with a prompt at engines, the best ones first; none if
+   * the service has no engines.
+   */
+  List<EngineEstimate> estimates(List<Replica> replicas, long now) {
+    return prompt.isPresent() && target().orElse(null) instanceof Service.Engines engines
+        ? context
+            .enginePlacement()
+            .estimates(
+                prompt.get(),
+                this::salt,
+                engines,
+                replicas,
+                weightPreference(prompt.get().model()),
+                cacheStores(),
+                priority(),
+                now)
+        : List.of();
+  }
+
+  /** Decides among the candidates, by a function that places the request on some of them. */
+  private Placement decide(
+      Candidates candidates,
+      Function<List<Replica>, Placement> placing,
+      Set<String> excluded,
+      long now) {
     if (!context.evacuations().areKnown()) {
       return new Placement.Refuse("the evacuations are not known yet", UNCONFIGURED_RETRY_MILLIS);
     }
-    Candidates candidates = candidates(now);
     Optional<Placement.Refuse> refusal = candidates.refusal();
     if (refusal.isPresent()) {
       return refusal.get();
@@ -102,10 +168,9 @@
             deferral.getAsLong());
       }
     }
-    Optional<Service> target = target();
-    Placement placement = place(target, usable, excluded, remaining, now);
+    Placement placement = placing.apply(usable);
     if (!(placement instanceof Placement.Send) && !candidates.starting().isEmpty()) {
-      placement = place(target, candidates.usableOrStarting(), excluded, remaining, now);
+      placement = placing.apply(candidates.usableOrStarting());
     }
     return candidates.orWait(placement, excluded);
   }
@@ -122,8 +187,11 @@
   }
 
   private Candidates candidates(long now) {
-    Candidates candidates =
-        Candidates.of(context.replicas().replicasOf(service), replica -> exclusion(replica, now));
+    return Candidates.of(
+        context.replicas().replicasOf(service), replica -> exclusion(replica, now));
+  }
+
+  private void count(Candidates candidates) {
     if (candidates.isAnyEvacuated() && !isCountedAsKept) {
       isCountedAsKept = true;
       context.metrics().keptFromEvacuated();
@@ -131,7 +199,6 @@
     if (candidates.isAnyLimited()) {
       context.metrics().withheldFromStarted();
     }
-    return candidates;
   }
 
   /**
@@ -214,9 +281,9 @@
       Set<String> excluded,
       long remaining,
       long now) {
-    if (!context.weights().isListed()) {
-      return new Placement.Refuse(
-          "the requested weights are not known yet", UNCONFIGURED_RETRY_MILLIS);
+    Optional<Placement> unknown = unknownWeights();
+    if (unknown.isPresent()) {
+      return unknown.get();
     }
     if (prompt.isEmpty()) {
       List<Replica> allowed = usable.stream().filter(this::isEveryVersionAllowed).toList();
@@ -238,6 +305,14 @@
             now);
   }
 
+  private Optional<Placement> unknownWeights() {
+    return context.weights().isListed()
+        ? Optional.empty()
+        : Optional.of(
+            new Placement.Refuse(
+                "the requested weights are not known yet", UNCONFIGURED_RETRY_MILLIS));
+  }
+
   private boolean isEveryVersionAllowed(Replica engine) {
     return engine.entry().weightVersions().keySet().stream()
         .allMatch(model -> weightPreference(model).allows(engine.version(model), 0));
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -1,9 +1,11 @@
 package org.bulrushpier.placing;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntFunction;
 import java.util.random.RandomGenerator;
@@ -190,15 +192,103 @@
       long goalMillis,
       long leftMillis,
       long nowMillis) {
-    boolean isGrouped = group.isInForce();
-    String home = isGrouped ? "" : home(prompt, engines);
+    Terms terms = terms(prompt, salts, service, engines, weights, stores, priority, nowMillis);
     sizes.sampleInFlight(engines);
-    Map<Integer, PartSources> sources = new HashMap<>();
-    Candidate best = null;
+    EngineEstimate best = null;
     for (Replica engine : engines) {
       if (excluded.contains(engine.entry().id())) {
         continue;
       }
+      EngineEstimate estimate = terms.estimate(engine);
+      if (estimate.isVersionAllowed() && (best == null || estimate.cost() < best.cost())) {
+        best = estimate;
+      }
+    }
+    Placement placement = decide(Optional.ofNullable(best), goalMillis, leftMillis);
+    if (placement instanceof Placement.Send send) {
+      sizes.samplePrefill(send.cache().prefillTokens());
+    }
+    return placement;
+  }
+
+  /**
+   * Returns the predictions by which engines are compared for a request, without selecting one.
+   *
+   * @param prompt the prompt of the generation
+   * @param salts maps a weight version to the salt under which its parts are cached
+   * @param service the service that the engines belong to
+   * @param engines the engines
+   * @param weights the preference for new weights
+   * @param stores the cache stores
+   * @param priority the priority of the request, 0 being the most urgent
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the predictions, those with the lowest costs first
+   */
+  public List<EngineEstimate> estimates(
+      PromptShape prompt,
+      IntFunction<String> salts,
+      Service.Engines service,
+      List<Replica> engines,
+      WeightPreference weights,
+      Collection<CacheStoreState> stores,
+      int priority,
+      long nowMillis) {
+    Terms terms = terms(prompt, salts, service, engines, weights, stores, priority, nowMillis);
+    return engines.stream()
+        .map(terms::estimate)
+        .sorted(Comparator.comparingDouble(EngineEstimate::cost))
+        .toList();
+  }
+
+  private Terms terms(
+      PromptShape prompt,
+      IntFunction<String> salts,
+      Service.Engines service,
+      List<Replica> engines,
+      WeightPreference weights,
+      Collection<CacheStoreState> stores,
+      int priority,
+      long nowMillis) {
+    boolean isGrouped = group.isInForce();
+    String home = isGrouped ? "" : home(prompt, engines);
+    return new Terms(prompt, salts, service, weights, stores, priority, isGrouped, home, nowMillis);
+  }
+
+  /** What the predictions for all engines have in common for one request. */
+  private final class Terms {
+    private final PromptShape prompt;
+    private final IntFunction<String> salts;
+    private final Service.Engines service;
+    private final WeightPreference weights;
+    private final Collection<CacheStoreState> stores;
+    private final int priority;
+    private final boolean isGrouped;
+    private final String home;
+    private final long nowMillis;
+    private final Map<Integer, PartSources> sources = new HashMap<>();
+
+    Terms(
+        PromptShape prompt,
+        IntFunction<String> salts,
+        Service.Engines service,
+        WeightPreference weights,
+        Collection<CacheStoreState> stores,
+        int priority,
+        boolean isGrouped,
+        String home,
+        long nowMillis) {
+      this.prompt = prompt;
+      this.salts = salts;
+      this.service = service;
+      this.weights = weights;
+      this.stores = stores;
+      this.priority = priority;
+      this.isGrouped = isGrouped;
+      this.home = home;
+      this.nowMillis = nowMillis;
+    }
+
+    EngineEstimate estimate(Replica engine) {
       int version = engine.version(prompt.model());
       String salt = salts.apply(version);
       PartSources versionSources =
@@ -208,60 +298,50 @@
       double duration = engine.workDurationFactor(nowMillis);
       double wait = predictWait(prompt, service, engine, priority, duration, nowMillis);
       double own = ownMillis(plan, duration);
-      double millis = own + wait + faultCost(engine, nowMillis);
-      if (!weights.allows(version, millis)) {
-        continue;
-      }
+      double fault = faultCost(engine, nowMillis);
+      double millis = own + wait + fault;
       double cost =
           millis
               + (engine.isUnreachable(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
               + cacheCost(engine, plan, home)
               + (isGrouped && !group.hasEngine(engine.entry().id()) ? outsideGroupCost() : 0)
               + weights.penaltyMillis(version);
-      if (best == null || cost < best.cost) {
-        best = new Candidate(engine, plan, wait, own, millis, cost);
-      }
+      return new EngineEstimate(
+          engine, plan, version, weights.allows(version, millis), wait, own, fault, cost);
     }
-    return best == null
-        ? new Placement.Refuse("no engine can take it", MIN_RETRY_MILLIS)
-        : decide(best, goalMillis, leftMillis);
   }
 
   /**
-   * An engine with the predictions for a request.
+   * Decides whether a request is sent to the best engine, waits for one, or is refused.
    *
-   * @param waitMillis the predicted wait before the request's own prefill
-   * @param ownMillis the predicted time to the first token after that wait
-   * @param totalMillis the predicted time to the first token, with the cost of faults
-   * @param cost the cost by which engines are compared, in milliseconds
+   * @param best the allowed engine with the lowest cost, or empty if there is none
+   * @param goalMillis the time within which the caller expects the first token, in milliseconds
+   * @param leftMillis the time that remains until the caller's deadline, in milliseconds
+   * @return the decision
    */
-  private record Candidate(
-      Replica engine,
-      CachePlan plan,
-      double waitMillis,
-      double ownMillis,
-      double totalMillis,
-      double cost) {}
-
-  /** Decides whether a request is sent to the best engine, waits for one, or is refused. */
-  private Placement decide(Candidate best, long goalMillis, long leftMillis) {
-    if (best.totalMillis > leftMillis) {
-      long wait = Math.max(MIN_RETRY_MILLIS, (long) (best.totalMillis - leftMillis));
+  public Placement decide(Optional<EngineEstimate> best, long goalMillis, long leftMillis) {
+    return best.map(estimate -> decide(estimate, goalMillis, leftMillis))
+        .orElse(new Placement.Refuse("no engine can take it", MIN_RETRY_MILLIS));
+  }
+
+  private Placement decide(EngineEstimate best, long goalMillis, long leftMillis) {
+    double total = best.totalMillis();
+    if (total > leftMillis) {
       return new Placement.Refuse(
-          "predicted first token after " + (long) best.totalMillis + " ms", wait);
+          "predicted first token after " + (long) total + " ms",
+          Math.max(MIN_RETRY_MILLIS, (long) (total - leftMillis)));
     }
-    double limit = Math.max(goalMillis - best.ownMillis, goalMillis * MIN_WAIT_SHARE);
-    if (best.waitMillis > limit) {
+    double limit = Math.max(goalMillis - best.ownMillis(), goalMillis * MIN_WAIT_SHARE);
+    if (best.waitMillis() > limit) {
       return new Placement.Wait(
-          "predicted wait at the best engine is " + (long) best.waitMillis + " ms");
+          "predicted wait at the best engine is " + (long) best.waitMillis() + " ms");
     }
-    sizes.samplePrefill(best.plan.prefillTokens());
     return new Placement.Send(
-        best.engine,
-        best.plan,
-        (long) Math.ceil(best.totalMillis),
-        (long) maxFetchMillis(best.plan, best.waitMillis),
-        isAlone(best.engine));
+        best.engine(),
+        best.plan(),
+        (long) Math.ceil(total),
+        (long) maxFetchMillis(best.plan(), best.waitMillis()),
+        isAlone(best.engine()));
   }
 
   private double outsideGroupCost() {
--- a/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
@@ -98,22 +98,7 @@
       if (excluded.contains(replica.entry().id())) {
         continue;
       }
-      double load =
-          replica.ownRequests()
-              + Math.max(
-                  replica.otherRequests(nowMillis, LOAD_VALIDITY_MILLIS),
-                  peers.at(replica.entry().id(), Integer.MAX_VALUE).requests())
-              + replica.overdueRequests(nowMillis) * OVERDUE_COST_SLOTS
-              + Math.max(0, replica.failureShare(nowMillis) - TOLERATED_FAILURE_SHARE)
-                  * FAILURE_COST_SLOTS;
-      if (!replica.entry().domain().equals(domain)) {
-        load += CROSSING_COST_SLOTS;
-      }
-      if (group.isLargeSite()) {
-        load += UNREPORTED_REQUESTS * random.nextExponential();
-      }
-      double duration = replica.workDurationFactor(nowMillis);
-      double cost = (load * duration + duration - 1) / Math.max(1, replica.entry().slots());
+      double cost = cost(replica, nowMillis);
       if (cost < bestCost) {
         best = replica;
         bestCost = cost;
@@ -123,4 +108,30 @@
         ? new Placement.Refuse("no replica can take it", RETRY_MILLIS)
         : new Placement.Send(best, CachePlan.EMPTY, 0, 0, true);
   }
+
+  /**
+   * Returns the cost by which replicas are compared.
+   *
+   * @param replica the replica
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the expected load, in relation to the slots of the replica
+   */
+  public double cost(Replica replica, long nowMillis) {
+    double load =
+        replica.ownRequests()
+            + Math.max(
+                replica.otherRequests(nowMillis, LOAD_VALIDITY_MILLIS),
+                peers.at(replica.entry().id(), Integer.MAX_VALUE).requests())
+            + replica.overdueRequests(nowMillis) * OVERDUE_COST_SLOTS
+            + Math.max(0, replica.failureShare(nowMillis) - TOLERATED_FAILURE_SHARE)
+                * FAILURE_COST_SLOTS;
+    if (!replica.entry().domain().equals(domain)) {
+      load += CROSSING_COST_SLOTS;
+    }
+    if (group.isLargeSite()) {
+      load += UNREPORTED_REQUESTS * random.nextExponential();
+    }
+    double duration = replica.workDurationFactor(nowMillis);
+    return (load * duration + duration - 1) / Math.max(1, replica.entry().slots());
+  }
 }
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.bulrushpier.Moment;
 import org.bulrushpier.call.PromptPart;
@@ -104,6 +105,29 @@
     return ((Placement.Send) placed).expectedMillis();
   }
 
+  @Test
+  void estimatesBeginWithTheEngineThatIsChosen() {
+    PromptShape prompt = prompt("s", 8_000);
+    engines.get(4).parts().put(new CacheSalt("m", 1, "").text(), "s", 7_500);
+
+    List<EngineEstimate> estimates =
+        placement.estimates(
+            prompt,
+            version -> new CacheSalt("m", version, "").text(),
+            Engines.SERVICE,
+            engines,
+            ANY_VERSION,
+            List.of(),
+            0,
+            NOW);
+
+    assertThat(estimates).hasSameSizeAs(engines);
+    assertThat(estimates.getFirst().engine().entry().id()).isEqualTo(chosen(prompt, ANY_VERSION));
+    assertThat(estimates.getFirst().plan().residentTokens()).isEqualTo(7_500);
+    assertThat(placement.decide(Optional.of(estimates.getFirst()), 1_000, 5_000))
+        .isInstanceOf(Placement.Send.class);
+  }
+
   @Test
   void engineWhereWorkTakesLongerIsAvoided() {
     PromptShape prompt = prompt("s", 700);
--- a/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -81,6 +81,11 @@
       gateway = Gateway.start(settings);
     }
 
+    /** Returns the address for operators. */
+    Address metricsAddress() {
+      return settings.metricsAddress();
+    }
+
     /** Shuts the instance down gracefully. */
     void shutDown() {
       gateway.shutDown();
