Set a connection up before it is read for the first time

Callers saw, rarely and more often in a busy process: a sound request that lost its header fields (a valid key was unknown, a request's id was missing), or a body that was counted twice and was refused with 503 for lack of room. A request sent on a connection that its peer closed as it opened got no answer and no failure until its own time was over.

Cause: a connection first asked to be notified of bytes and then, in a second turn of the loop's lock, was set up. The selector's thread could read in between while another thread opened the connection. Setting up a caller's connection then discarded the fields and the completeness of the head that had been read; a connection to a replica was handed a request after it had ended.

Change: both happen in one turn, the setting up first; the base class calls opened() and no subclass overrides onOpen().

Evidence: a trace of MessageBudgetTest at loads of 20 to 22 shows the head with its reserved body of 2.5 MB, then 1.7 MB of that body counted again as an unfinished head, the wait for room and the 503 to the first request.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -141,9 +141,8 @@
   }
 
   @Override
-  public void onOpen() {
-    super.onOpen();
-    loop.run(this::awaitRequest);
+  void opened() {
+    awaitRequest();
   }
 
   /**
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
@@ -60,7 +60,11 @@
    *     milliseconds
    */
   public void send(Address address, OutboundRequest request, long maxIdleMillis) {
-    groups.computeIfAbsent(address, Group::new).send(request, maxIdleMillis);
+    group(address).send(request, maxIdleMillis);
+  }
+
+  Group group(Address address) {
+    return groups.computeIfAbsent(address, Group::new);
   }
 
   /**
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -16,6 +16,9 @@
  * <p>Invariant: the bytes of one connection are handled for no longer than a {@link ReadTurn}; then
  * the connection queues behind all others that are readable.
  *
+ * <p>Nothing is read before the connection has been set up, as the selector's thread may handle
+ * what arrives while another one opens the connection.
+ *
  * <p>Reading goes on while a response is pending, so that the end of the connection is noticed
  * immediately, unless the subclass pauses it. A connection that closes after its last write first
  * ends its output and discards what still arrives, since closing a socket with unread bytes resets
@@ -60,6 +63,9 @@
     this.loop = loop;
   }
 
+  /** Sets the connection up, before anything is read from it. */
+  abstract void opened();
+
   /** Handles bytes that were read. The buffer is shared, so bytes that are kept must be copied. */
   abstract void received(ByteBuffer bytes);
 
@@ -67,9 +73,13 @@
   abstract void ended(boolean isReset, String detail);
 
   @Override
-  public void onOpen() {
+  public final void onOpen() {
     super.onOpen();
-    loop.run(this::awaitReadable);
+    loop.run(
+        () -> {
+          opened();
+          awaitReadable();
+        });
   }
 
   @Override
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
@@ -107,9 +107,8 @@
   }
 
   @Override
-  public void onOpen() {
-    super.onOpen();
-    loop.run(() -> group.opened(this));
+  void opened() {
+    group.opened(this);
   }
 
   void send(OutboundRequest outbound) {
