Cold replicas: an instance that stalls before it knows the others settles anew after it

Callers: a cold replica got 18 requests in one second where 17 are allowed, so it could have fallen over.

Cause (KNOWN-RED, sample 11442, 19 instances): seven instances, all three seeds among them, were frozen 25 ms after the start and woke together 3.55 s later. The time since their first contact had passed meanwhile, so each took itself for settled, with the 4 to 9 members it had met in its first 25 ms and nobody live, and took one or two seats at once. The other 13 had found each other only in groups, as the seeds were gone, and had sent 13 requests half a second before.

A young instance now settles anew after a stall of more than 1 s, and it has a seat only if a seed was there for 1.5 s after its first contact (seeds themselves excepted): instances that start together find each other only through them.

Two tests of Membership let the instance run through the time they skipped before, as a running instance does; what they check is the same.

--- a/library/src/main/java/org/bulrushpier/fleet/Membership.java
+++ b/library/src/main/java/org/bulrushpier/fleet/Membership.java
@@ -65,6 +65,9 @@
    */
   static final long YOUNG_MILLIS = 60_000;
 
+  /** The longest time without any call that is not taken for a stall of this process, in ms. */
+  static final long STALL_MILLIS = 1_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
   private static final String UNKNOWN_DOMAIN = "";
 
@@ -73,6 +76,9 @@
   private final Map<Address, Peer> peers = new HashMap<>();
   private long firstHeardMillis = NEVER;
   private long lastAddedMillis = NEVER;
+  private long lastSeedMillis = NEVER;
+  private long lastCallMillis = NEVER;
+  private boolean isSeed;
 
   private Membership(Address self) {
     this.self = self;
@@ -99,7 +105,33 @@
   public void seeds(Collection<Address> newSeeds) {
     seeds.clear();
     seeds.addAll(newSeeds);
-    seeds.remove(self);
+    isSeed = seeds.remove(self);
+  }
+
+  /**
+   * Lets a young instance settle anew after a stall, in which it has learned of no other ones. Each
+   * running instance is called at short intervals.
+   */
+  private void follow(long nowMillis) {
+    if (nowMillis - lastCallMillis > STALL_MILLIS && isYoung(lastCallMillis)) {
+      firstHeardMillis = nowMillis;
+    }
+    lastCallMillis = nowMillis;
+  }
+
+  /**
+   * Checks whether a young instance has had the time to learn of all others. A seed must have been
+   * there, as instances that start at the same time find each other only through the seeds.
+   */
+  private boolean isSettled(long nowMillis) {
+    return nowMillis - firstHeardMillis >= SETTLING_MILLIS
+        && nowMillis - lastAddedMillis >= QUIET_MILLIS
+        && (isSeed || seeds.isEmpty() || lastSeedMillis - firstHeardMillis >= QUIET_MILLIS);
+  }
+
+  /** Checks whether instances may be missing that were not heard from since the start. */
+  private boolean isYoung(long nowMillis) {
+    return firstHeardMillis != NEVER && nowMillis - firstHeardMillis < YOUNG_MILLIS;
   }
 
   /**
@@ -121,6 +153,7 @@
    * @param nowMillis the current monotonic time, in milliseconds
    */
   public void heard(Address address, String domain, long nowMillis) {
+    follow(nowMillis);
     if (!address.equals(self) && (peers.containsKey(address) || peers.size() < MAX_KNOWN)) {
       if (firstHeardMillis == NEVER) {
         firstHeardMillis = nowMillis;
@@ -128,6 +161,9 @@
       if (peers.put(address, new Peer(nowMillis, nowMillis, domain)) == null) {
         lastAddedMillis = nowMillis;
       }
+      if (seeds.contains(address)) {
+        lastSeedMillis = nowMillis;
+      }
     }
   }
 
@@ -161,6 +197,7 @@
    * @return the number, at least 1
    */
   public int liveInstances(long nowMillis) {
+    follow(nowMillis);
     return 1 + (int) peers.values().stream().filter(peer -> peer.isLive(nowMillis)).count();
   }
 
@@ -222,13 +259,12 @@
    * @return the place, or empty until the lists of other instances have arrived after the start
    */
   public Optional<Place> place(String key, long nowMillis) {
+    follow(nowMillis);
     if (peers.isEmpty() && seeds.isEmpty()) {
       return Optional.of(Place.ALONE);
     }
-    boolean isYoung = nowMillis - firstHeardMillis < YOUNG_MILLIS;
-    if (firstHeardMillis == NEVER
-        || nowMillis - firstHeardMillis < SETTLING_MILLIS
-        || isYoung && nowMillis - lastAddedMillis < QUIET_MILLIS) {
+    boolean isYoung = isYoung(nowMillis);
+    if (firstHeardMillis == NEVER || isYoung && !isSettled(nowMillis)) {
       return Optional.empty();
     }
     Set<Address> remembered = new HashSet<>(peers.keySet());
@@ -256,6 +292,7 @@
    * @return the instances that were heard from or heard of recently
    */
   public List<Address> contacts(long nowMillis) {
+    follow(nowMillis);
     List<Address> contacts = new ArrayList<>();
     peers.forEach(
         (address, peer) -> {
--- a/library/src/test/java/org/bulrushpier/fleet/MembershipTest.java
+++ b/library/src/test/java/org/bulrushpier/fleet/MembershipTest.java
@@ -166,6 +166,13 @@
     assertThat(liveRanks).containsExactlyInAnyOrder(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10);
   }
 
+  /** Lets an instance run for a time, in which it hears from another one. */
+  private static void hear(Membership membership, Address other, long fromMillis, long toMillis) {
+    for (long time = fromMillis; time <= toMillis; time += 100) {
+      membership.heard(other, time);
+    }
+  }
+
   @Test
   void instanceHasNoPlaceUntilItHasHeardOthersForSomeTime() {
     Membership alone = Membership.of(address(0), List.of());
@@ -173,7 +180,7 @@
 
     Membership started = Membership.of(address(0), List.of(address(1)));
     assertThat(started.place("r@1", 60_000)).isEmpty();
-    started.heard(address(1), 60_000);
+    hear(started, address(1), 60_000, 60_000 + Membership.SETTLING_MILLIS - 100);
     assertThat(started.place("r@1", 60_000 + Membership.SETTLING_MILLIS - 1)).isEmpty();
     assertThat(started.place("r@1", 60_000 + Membership.SETTLING_MILLIS)).isPresent();
   }
@@ -182,15 +189,60 @@
   @Test
   void youngInstanceThatStillLearnsOfOthersHasNoPlace() {
     Membership young = Membership.of(address(0), List.of(address(1)));
-    young.heard(address(1), 0);
+    hear(young, address(1), 0, 1_900);
     young.learned(address(2), 1_900);
     assertThat(young.place("r@1", Membership.SETTLING_MILLIS)).isEmpty();
+    hear(young, address(1), Membership.SETTLING_MILLIS, 1_900 + Membership.QUIET_MILLIS);
     assertThat(young.place("r@1", 1_900 + Membership.QUIET_MILLIS)).isPresent();
 
+    hear(young, address(1), 1_900 + Membership.QUIET_MILLIS, Membership.YOUNG_MILLIS);
     young.learned(address(3), Membership.YOUNG_MILLIS);
     assertThat(young.place("r@1", Membership.YOUNG_MILLIS)).isPresent();
   }
 
+  /** In the time of a stall no list arrives, so that it is no time to settle. */
+  @Test
+  void youngInstanceSettlesAnewAfterStall() {
+    Membership young = Membership.of(address(0), List.of(address(1)));
+    hear(young, address(1), 0, 100);
+
+    assertThat(young.place("r@1", 5_000)).isEmpty();
+    hear(young, address(1), 5_000, 6_900);
+    assertThat(young.place("r@1", 6_999)).isEmpty();
+    assertThat(young.place("r@1", 7_000)).isPresent();
+
+    hear(young, address(1), 7_000, 8_000);
+    assertThat(young.place("r@1", 70_000)).as("woken in a later minute").isEmpty();
+  }
+
+  @Test
+  void instanceThatIsNoLongerYoungKeepsItsPlaceInStall() {
+    Membership old = Membership.of(address(0), List.of(address(1)));
+    hear(old, address(1), 0, Membership.YOUNG_MILLIS);
+
+    assertThat(old.place("r@1", Membership.YOUNG_MILLIS + 30_000)).isPresent();
+  }
+
+  /** Instances that started together find each other through the seeds only. */
+  @Test
+  void youngInstanceWhoseSeedsAreGoneHasNoPlace() {
+    Membership young = Membership.of(address(0), List.of(address(1)));
+    young.heard(address(1), 0);
+    hear(young, address(2), 0, Membership.YOUNG_MILLIS - 100);
+
+    assertThat(young.place("r@1", Membership.YOUNG_MILLIS - 1)).isEmpty();
+    assertThat(young.place("r@1", Membership.YOUNG_MILLIS)).isPresent();
+  }
+
+  /** The other seeds may never have been started, so that all instances start from this one. */
+  @Test
+  void seedSettlesWithoutOtherSeeds() {
+    Membership seed = Membership.of(address(0), List.of(address(0), address(1)));
+    hear(seed, address(2), 0, Membership.SETTLING_MILLIS);
+
+    assertThat(seed.place("r@1", Membership.SETTLING_MILLIS)).isPresent();
+  }
+
   @Test
   void membersOfTheOwnDomainAreThoseThatHaveToldIt() {
     Membership membership = Membership.of(address(0), List.of());
--- a/library/src/test/java/org/bulrushpier/replica/ColdReplicasPropertyTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ColdReplicasPropertyTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -32,12 +33,14 @@
   private static final long LISTS_MILLIS = 1_000;
   private static final long LENGTH_MILLIS = 30_000;
   private static final long START_MILLIS = 100_000;
+  private static final long SEEDS_WAKE_MILLIS = START_MILLIS + 20_000;
   private static final int SECOND_MILLIS = 1_000;
 
   private final List<Long> sent = new ArrayList<>();
   private final List<Instance> instances = new ArrayList<>();
   private Random random;
   private boolean isCut;
+  private long seedsFreezeMillis;
 
   private final class Instance {
     private final Address address;
@@ -134,6 +137,27 @@
     assertBound();
   }
 
+  /** Seven instances, all seeds among them, freeze just after their start and wake together. */
+  @Example
+  void instancesThatFrozeBeforeTheyKnewTheOthersKeepTheBound() {
+    run(11_442, 19, 7);
+
+    assertBound();
+  }
+
+  /** The others have found each other only in groups, one for each seed. */
+  @Property(tries = 20)
+  void boundIsKeptWhenAllSeedsFreezeAfterTheStart(
+      @ForAll long seed,
+      @ForAll @IntRange(min = 18, max = 45) int count,
+      @ForAll @IntRange(max = 80) int steps) {
+    seedsFreezeMillis = START_MILLIS + steps * STEP_MILLIS;
+
+    run(seed, count, 0);
+
+    assertBound();
+  }
+
   private void run(long seed, int count, int faults) {
     random = new Random(seed);
     sent.clear();
@@ -157,6 +181,9 @@
         times.poll();
         fault(now);
       }
+      if (now == seedsFreezeMillis) {
+        instances.subList(0, seeds.size()).forEach(i -> i.runsFromMillis = SEEDS_WAKE_MILLIS);
+      }
       for (Instance instance : instances) {
         if (instance.runs(now)) {
           instance.exchange(now);
