Cold replicas: after a stall only a call sent since ends the caution

Callers: after an instance was frozen, a replica that had turned cold in that time could get requests beyond its bound.

Cause: any response of the registry ended the caution, also one to a call that was under way before the stall and says nothing of it. Change: the moment for which the response is a proof (when the call was sent, or the proof that a reader passes on) is compared with the wake-up; an older one ends neither the caution nor a suspicion.

Test: ColdReplicasTest.responseToCallThatWasSentBeforeTheStallDoesNotEndTheCaution failed before.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
@@ -86,9 +86,9 @@
             limit.bound());
   }
 
-  /** Records that the registry has been read. */
-  void registryRead(long nowMillis) {
-    replicas.registryRead(context.replicas().isCurrent(nowMillis));
+  /** Records that the registry has been read, and when what was read was certainly true. */
+  void registryRead(long provenMillis, long nowMillis) {
+    replicas.registryRead(provenMillis, context.replicas().isCurrent(nowMillis));
   }
 
   /** Returns the reason if a cold replica may be sent no more requests now. */
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
@@ -49,7 +49,7 @@
         .retain(ids, now)
         .forEach((id, change) -> context.logChange("replica-" + change.name(), id, "not listed"));
     context.replicas().markListed();
-    context.cold().registryRead(now);
+    context.cold().registryRead(sent.monotonicMillis(), now);
   }
 
   @Override
@@ -65,7 +65,7 @@
       }
     }
     logUnusable();
-    context.cold().registryRead(now);
+    context.cold().registryRead(sent.monotonicMillis(), now);
   }
 
   private void logUnusable() {
--- a/library/src/main/java/org/bulrushpier/replica/ColdReplicas.java
+++ b/library/src/main/java/org/bulrushpier/replica/ColdReplicas.java
@@ -37,6 +37,7 @@
   private final PlaceSource places;
   private final Map<Replica, KnownPlace> known = new HashMap<>();
   private final Set<Replica> cold = new LinkedHashSet<>();
+  private long wokenMillis = NEVER;
   private long uncertainUntilMillis = NEVER;
   private long lastTickMillis = Long.MAX_VALUE;
 
@@ -120,12 +121,17 @@
   }
 
   /**
-   * Records that the registry has been read.
+   * Records that the registry has been read. What was true before this process stalled says nothing
+   * of the stall.
    *
+   * @param provenMillis a moment at which what was read was certainly true, in milliseconds
    * @param isCurrent whether all replicas that live have had the time to renew their entries, so
    *     that what the registry does not say has not happened
    */
-  public void registryRead(boolean isCurrent) {
+  public void registryRead(long provenMillis, boolean isCurrent) {
+    if (provenMillis < wokenMillis) {
+      return;
+    }
     uncertainUntilMillis = NEVER;
     if (isCurrent) {
       cold.forEach(replica -> replica.coldSpell().clearSuspicion());
@@ -230,6 +236,7 @@
    */
   public List<Replica> tick(long nowMillis) {
     if (nowMillis - lastTickMillis >= STALL_MILLIS) {
+      wokenMillis = nowMillis;
       uncertainUntilMillis = nowMillis + NEWS_MILLIS;
     }
     lastTickMillis = nowMillis;
--- a/library/src/test/java/org/bulrushpier/replica/ColdReplicasTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ColdReplicasTest.java
@@ -188,9 +188,9 @@
     place = Optional.of(OTHER);
     cold.mayHaveRestarted(replica, NOW);
 
-    cold.registryRead(false);
+    cold.registryRead(NOW, false);
     assertThat(isAdmitted(replica, NOW)).isFalse();
-    cold.registryRead(true);
+    cold.registryRead(NOW, true);
     assertThat(isAdmitted(replica, NOW)).isTrue();
   }
 
@@ -204,10 +204,28 @@
     assertThat(cold.admits(LIMIT, replica, woken)).isFalse();
     assertThat(isAdmitted(replica, woken)).isFalse();
 
-    cold.registryRead(false);
+    cold.registryRead(woken, false);
     assertThat(isAdmitted(replica, woken)).isTrue();
   }
 
+  /** It was under way, and says nothing of what happened in the stall. */
+  @Test
+  void responseToCallThatWasSentBeforeTheStallDoesNotEndTheCaution() {
+    Replica replica = replica("r");
+    place = Optional.of(OTHER);
+    cold.mayHaveRestarted(replica("s"), NOW);
+    long woken = NOW + ColdReplicas.STALL_MILLIS;
+    cold.tick(woken);
+
+    cold.registryRead(woken - 1, true);
+    assertThat(isAdmitted(replica, woken)).isFalse();
+    assertThat(table.find("s").coldSpell().isCold(woken)).isTrue();
+
+    cold.registryRead(woken, true);
+    assertThat(isAdmitted(replica, woken)).isTrue();
+    assertThat(table.find("s").coldSpell().isCold(woken)).isFalse();
+  }
+
   @Test
   void registryThatDoesNotAnswerAfterStallIsNotAwaitedForEver() {
     Replica replica = replica("r");
