A request doesn't wait for a cold replica that it has tried already

Callers: a request that was refused only because the other replicas were cold waited until it expired, also when it had tried all of them and none of them could get it again.

Cause: Candidates.orWait asked whether any replica was cold, not which. Change: the candidates name the cold ones, and only those that the request has not tried are waited for.

Test: CandidatesTest.requestDoesNotWaitForColdReplicaThatItHasTried failed before.

--- a/library/src/main/java/org/bulrushpier/placing/Candidates.java
+++ b/library/src/main/java/org/bulrushpier/placing/Candidates.java
@@ -18,10 +18,14 @@
  *
  * @param usable the replicas that may get the request
  * @param starting those that have just started, which get it only if no usable one can take it
+ * @param cold those that are cold and have no seat now
  * @param excluded the number of the other replicas by the first reason that applies
  */
 public record Candidates(
-    List<Replica> usable, List<Replica> starting, Map<Exclusion, Integer> excluded) {
+    List<Replica> usable,
+    List<Replica> starting,
+    List<Replica> cold,
+    Map<Exclusion, Integer> excluded) {
 
   /**
    * Retry delay while operators let no replica take a request, in milliseconds. They change their
@@ -33,6 +37,7 @@
   public Candidates {
     usable = List.copyOf(usable);
     starting = List.copyOf(starting);
+    cold = List.copyOf(cold);
     excluded = Map.copyOf(excluded);
   }
 
@@ -47,6 +52,7 @@
       List<Replica> replicas, Function<Replica, Optional<Exclusion>> exclusion) {
     List<Replica> usable = new ArrayList<>();
     List<Replica> starting = new ArrayList<>();
+    List<Replica> cold = new ArrayList<>();
     Map<Exclusion, Integer> excluded = new EnumMap<>(Exclusion.class);
     for (Replica replica : replicas) {
       Optional<Exclusion> reason = exclusion.apply(replica);
@@ -56,10 +62,12 @@
         excluded.merge(reason.get(), 1, Integer::sum);
         if (reason.get() == Exclusion.STARTING) {
           starting.add(replica);
+        } else if (reason.get() == Exclusion.COLD) {
+          cold.add(replica);
         }
       }
     }
-    return new Candidates(usable, starting, excluded);
+    return new Candidates(usable, starting, cold, excluded);
   }
 
   /** Returns whether a replica is excluded because it is cold or has just started. */
@@ -83,16 +91,17 @@
    * @return the placement, or a wait in place of a refusal
    */
   public Placement orWait(Placement placement, Set<String> excludedIds) {
-    boolean isAnyLeft =
-        usableOrStarting().stream()
-            .anyMatch(replica -> !excludedIds.contains(replica.entry().id()));
     return placement instanceof Placement.Refuse
-            && excluded.containsKey(Exclusion.COLD)
-            && !isAnyLeft
+            && isAnyLeft(cold, excludedIds)
+            && !isAnyLeft(usableOrStarting(), excludedIds)
         ? new Placement.Wait("the replicas that could take it are cold")
         : placement;
   }
 
+  private static boolean isAnyLeft(List<Replica> replicas, Set<String> excludedIds) {
+    return replicas.stream().anyMatch(replica -> !excludedIds.contains(replica.entry().id()));
+  }
+
   /** Returns whether a replica is excluded by an evacuation. */
   public boolean isAnyEvacuated() {
     return excluded.containsKey(Exclusion.EVACUATED);
--- a/library/src/test/java/org/bulrushpier/placing/CandidatesTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/CandidatesTest.java
@@ -131,6 +131,16 @@
     assertThat(candidates().orWait(refused, Set.of("e1"))).isInstanceOf(Placement.Wait.class);
   }
 
+  @Test
+  void requestDoesNotWaitForColdReplicaThatItHasTried() {
+    Placement refused = new Placement.Refuse("no engine can take it", 100);
+    exclusions.put(replica(0), Exclusion.COLD);
+    assertThat(candidates().orWait(refused, Set.of("e0"))).isEqualTo(refused);
+
+    exclusions.put(replica(1), Exclusion.COLD);
+    assertThat(candidates().orWait(refused, Set.of("e0"))).isInstanceOf(Placement.Wait.class);
+  }
+
   @Test
   void replicaThatHasJustStartedIsKeptForRequestsThatNoOtherCanTake() {
     Replica starting = replica(0);
