A suspicion that ends by itself is followed by the steps of a cold time

Callers: a replica that may have restarted got all requests at once 10 s after the last sign of it, although nobody had learned in that time whether it had.

Cause: the steps counted from the end of the cold time that the replica had told, which a suspicion alone does not set. Change: they count from whichever ends later; a suspicion that the registry clears ends without them, as before.

Test: ColdReplicasTest.shareGrowsAfterSuspicionThatEndsByItself failed before.

--- a/library/src/main/java/org/bulrushpier/replica/ColdSpell.java
+++ b/library/src/main/java/org/bulrushpier/replica/ColdSpell.java
@@ -128,13 +128,14 @@
   }
 
   /**
-   * Returns the time since the replica was last cold.
+   * Returns the time since the replica was last taken to be cold. It counts as cold until the end
+   * of a suspicion that nothing has cleared.
    *
    * @param nowMillis the current monotonic time, in milliseconds
    * @return the time in milliseconds, which is long if it never was
    */
   public long warmMillis(long nowMillis) {
-    return nowMillis - coldUntilMillis;
+    return nowMillis - Math.max(coldUntilMillis, suspectUntilMillis);
   }
 
   /**
--- a/library/src/test/java/org/bulrushpier/replica/ColdReplicasTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ColdReplicasTest.java
@@ -182,6 +182,24 @@
     assertThat(replica.coldSpell().leftMillis(NOW + 900)).isEqualTo(COLD_MILLIS);
   }
 
+  /** It may have restarted late in that time. */
+  @Test
+  void shareGrowsAfterSuspicionThatEndsByItself() {
+    Replica replica = replica("r");
+    cold.mayHaveRestarted(replica, NOW);
+    long end = NOW + ColdSpell.SUSPICION_MILLIS;
+    run(NOW, end);
+    List<Integer> shares =
+        IntStream.range(0, 6).mapToObj(i -> cold.share(LIMIT, replica, end + 500L * i)).toList();
+    assertThat(shares).isSorted().startsWith(1).doesNotContain(Integer.MAX_VALUE);
+    assertThat(cold.limited()).containsExactly(replica);
+
+    run(end, end + ColdLimit.RAMP_MILLIS);
+    assertThat(cold.share(LIMIT, replica, end + ColdLimit.RAMP_MILLIS))
+        .isEqualTo(Integer.MAX_VALUE);
+    assertThat(cold.limited()).isEmpty();
+  }
+
   @Test
   void registryEndsSuspicionOnceLiveReplicasHaveRenewedTheirEntries() {
     Replica replica = replica("r");
