Copies of runs: only between replicas whose weights are known to be the same

Callers could see an answer that went on under other weights: two replicas whose versions are not known both count as version 0, which passed as equal. A holder is chosen only if the run's version is known and the holder's is equal.

CopyPlacementTest.weightsThatAreNotKnownAreNotTheSame failed before: the copy was ordered at a replica of unknown version.

--- a/library/src/main/java/org/bulrushpier/survival/CopyPlacement.java
+++ b/library/src/main/java/org/bulrushpier/survival/CopyPlacement.java
@@ -85,8 +85,9 @@
    * @param replicas the replicas of the service
    * @param mayReceive whether a replica may get this request now
    * @param nowMillis the current monotonic time, in milliseconds
-   * @return the holder, or empty if none of the drawn replicas is suitable, or if as many of them
-   *     are full as have room, so that memory is scarce in the whole service
+   * @return the holder, or empty if the weights of the run are not known, if none of the drawn
+   *     replicas is known to have the same and is suitable, or if as many of them are full as have
+   *     room, so that memory is scarce in the whole service
    */
   public Optional<Replica> choose(
       PromptShape prompt,
@@ -124,10 +125,12 @@
   }
 
   private static boolean isSuitable(Replica replica, Replica run, String model, long nowMillis) {
+    int version = run.version(model);
     return !replica.entry().id().equals(run.entry().id())
         && !replica.isUnreachable(nowMillis)
         && replica.overdueRequests(nowMillis) == 0
-        && replica.version(model) == run.version(model);
+        && version > 0
+        && replica.version(model) == version;
   }
 
   private long heldTokens(Replica replica) {
--- a/library/src/test/java/org/bulrushpier/survival/CopyPlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/survival/CopyPlacementTest.java
@@ -197,6 +197,17 @@
         .isNotIn(unsuitable.stream().map(Optional::of).toList());
   }
 
+  /** Two replicas whose weights are not known may have different ones. */
+  @Test
+  void weightsThatAreNotKnownAreNotTheSame() {
+    Replica unknown = replica("unknown", "a", 0);
+    Replica other = replica("other", "b", 0);
+    Replica known = replica("known", "b", 1);
+
+    assertThat(choose(unknown, List.of(unknown, other, known), Set.of())).isEmpty();
+    assertThat(choose(known, List.of(unknown, other, known), Set.of())).isEmpty();
+  }
+
   /** Many runs at once do not heap their copies on few replicas. */
   @Test
   void copiesSpreadOverReplicas() {
