Silence of a replica: a question that could not be put is no missing answer

A stream that may not be resumed could leave a sound replica that merely paused, so that its run was cancelled there and was lost if no copy had arrived: a question on an idle connection that had been reset or was dead without notice, or whose answer found no room here, counted as not answered.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -88,7 +88,7 @@
     upstreamPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     controlPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     client = new ControlClient(loop, controlPool);
-    inquiries = new ReplicaInquiries(client);
+    inquiries = new ReplicaInquiries(loop, controlPool);
     copyPlacement = CopyPlacement.of(peerLoads, ThreadLocalRandom.current());
   }
 
--- a/library/src/main/java/org/bulrushpier/survival/Inquiry.java
+++ b/library/src/main/java/org/bulrushpier/survival/Inquiry.java
@@ -3,6 +3,9 @@
 /**
  * When a replica was last asked whether it is alive, and when it last answered.
  *
+ * <p>A question may have to be put several times, as the connections that carried it broke. One
+ * that could not be put at all proves nothing.
+ *
  * <p>Not thread-safe; guarded by the lock of the gateway's event loop.
  */
 public final class Inquiry {
@@ -10,7 +13,9 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private long askedMillis = NEVER;
+  private long putMillis = NEVER;
   private long answeredMillis = NEVER;
+  private boolean isWithdrawn;
 
   /**
    * Records that the replica was asked.
@@ -19,6 +24,22 @@
    */
   public void asked(long nowMillis) {
     askedMillis = nowMillis;
+    putMillis = nowMillis;
+    isWithdrawn = false;
+  }
+
+  /**
+   * Records that the last question is put once more, as its connection broke.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void askedAgain(long nowMillis) {
+    putMillis = nowMillis;
+  }
+
+  /** Records that the last question could not be put, for a reason on this side. */
+  public void withdrawn() {
+    isWithdrawn = true;
   }
 
   /**
@@ -51,8 +72,13 @@
     return answeredMillis;
   }
 
-  /** Returns whether the replica has answered since it was last asked. */
-  boolean isAnswered() {
-    return answeredMillis >= askedMillis;
+  /** Returns the monotonic time at which the last question was last put, in milliseconds. */
+  long putMillis() {
+    return putMillis;
+  }
+
+  /** Returns whether the last question was put and has not been answered. */
+  boolean isOpen() {
+    return answeredMillis < askedMillis && !isWithdrawn;
   }
 }
--- a/library/src/main/java/org/bulrushpier/survival/SilenceWatch.java
+++ b/library/src/main/java/org/bulrushpier/survival/SilenceWatch.java
@@ -6,8 +6,8 @@
  *
  * <p>A sound replica may fall silent for a second and go on, and a stream may pause while its
  * replica works on others. Silence alone proves nothing: both the replica and the holder are asked,
- * and the replica is gone if only the holder answers. If neither does, the fault may lie with this
- * instance.
+ * and the replica is gone if only the holder answers. If neither does, or if the question could not
+ * be put, the fault may lie with this instance.
  *
  * <p>Immutable and thread-safe.
  */
@@ -20,7 +20,7 @@
   private static final double ASK_SHARE = 0.5;
 
   /** The time for an answer, in milliseconds: tens of round trips. */
-  static final long ANSWER_MILLIS = 200;
+  public static final long ANSWER_MILLIS = 200;
 
   /** The shortest interval between two questions to one replica, in milliseconds. */
   public static final long REPEAT_MILLIS = 400;
@@ -75,12 +75,12 @@
     if (!isSuspicious(lastHeardMillis, nowMillis)) {
       return Verdict.WAIT;
     }
-    if (run.isAnswered() || run.askedMillis() < lastHeardMillis) {
+    if (!run.isOpen() || run.askedMillis() < lastHeardMillis) {
       return run.isDue(REPEAT_MILLIS, nowMillis) ? Verdict.ASK : Verdict.WAIT;
     }
     if (holder.answeredMillis() < run.askedMillis()) {
       return holder.isDue(REPEAT_MILLIS, nowMillis) ? Verdict.ASK : Verdict.WAIT;
     }
-    return nowMillis - run.askedMillis() >= ANSWER_MILLIS ? Verdict.GONE : Verdict.WAIT;
+    return nowMillis - run.putMillis() >= ANSWER_MILLIS ? Verdict.GONE : Verdict.WAIT;
   }
 }
--- a/library/src/test/java/org/bulrushpier/survival/SilenceWatchTest.java
+++ b/library/src/test/java/org/bulrushpier/survival/SilenceWatchTest.java
@@ -77,6 +77,32 @@
     assertThat(watch.judge(400, run, holder, 800)).isEqualTo(ASK);
   }
 
+  @Test
+  void questionThatCouldNotBePutProvesNothingAndIsRepeated() {
+    run.asked(400);
+    run.withdrawn();
+    holder.asked(400);
+    holder.answered(405);
+
+    assertThat(judge(700)).isEqualTo(WAIT);
+    assertThat(judge(800)).isEqualTo(ASK);
+    run.asked(800);
+    holder.asked(800);
+    holder.answered(805);
+    assertThat(judge(1_000)).isEqualTo(GONE);
+  }
+
+  @Test
+  void timeForAnAnswerBeginsAnewWithTheConnectionThatCarriesTheQuestion() {
+    run.asked(400);
+    holder.asked(400);
+    holder.answered(405);
+    run.askedAgain(590);
+
+    assertThat(judge(789)).isEqualTo(WAIT);
+    assertThat(judge(790)).isEqualTo(GONE);
+  }
+
   @Test
   void defaultAppliesToRouteWithoutExpectedPause() {
     assertThat(SilenceWatch.of(0).isSuspicious(0, 399)).isFalse();
