Fair sharing: requests that expired leave nothing in their customer's account; idle accounts are dropped

A customer whose waiting requests had expired kept the start tag of the last of them, so its next requests stood behind those of all others until the queue was empty once; and accounts of customers were never dropped. The tag now follows from the requests that still wait, the greatest tag placed and the charges that remain; a refund takes back exactly what was charged. An account is dropped 100 s after its customer's last request (ten half-lives), looking at the oldest account only. Settling no longer goes over all accounts.

CustomerSharesTest.requestsThatExpiredDoNotPutTheirCustomerBehindOthers failed before (7th of 7 in place of one of the first 3); the tests of accounts need the new accessor and did not compile before.

--- a/library/src/main/java/org/bulrushpier/placing/CustomerShares.java
+++ b/library/src/main/java/org/bulrushpier/placing/CustomerShares.java
@@ -1,7 +1,8 @@
 package org.bulrushpier.placing;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.TreeMap;
 
 /**
  * Orders waiting requests of one priority by weighted fair queueing over their customers.
@@ -10,15 +11,20 @@
  * divided by the customer's weight. The request with the smallest tag is next. The weight of a
  * customer is its usual demand, so that in a lasting shortage all customers are served in
  * proportion to it, and a burst of one of them waits behind the others instead of in front of them.
- * A large request delays only later ones of the same customer.
+ * A large request delays only later ones of the same customer. A request that ended without being
+ * placed leaves nothing behind. Customers whose demand has halved away are forgotten.
  *
- * <p>Invariant: the tags of one customer's requests never decrease while any request waits. Not
- * thread-safe; guarded by the lock of the gateway's event loop.
+ * <p>Invariant: a request's tag is never smaller than that of a waiting request of the same
+ * customer, or than the greatest tag of those that were placed. Not thread-safe; guarded by the
+ * lock of the gateway's event loop.
  */
 final class CustomerShares {
 
   /** The time in which an earlier demand halves, in milliseconds. */
-  private static final double HALF_LIFE_MILLIS = 10_000;
+  private static final long HALF_LIFE_MILLIS = 10_000;
+
+  /** The time without arrivals after which a customer is forgotten, in milliseconds. */
+  static final long IDLE_MILLIS = 10 * HALF_LIFE_MILLIS;
 
   /**
    * The time for which a customer may be ahead of its share before it waits behind others, in
@@ -33,17 +39,30 @@
   private static final class Account {
     private double usualTokens;
     private long updatedMillis;
-    private double lastStart;
     private double finish;
 
+    /** The number of waiting requests by start tag. */
+    private final TreeMap<Double, Integer> waiting = new TreeMap<>();
+
     private double usual(long nowMillis) {
       double age = Math.max(0, nowMillis - updatedMillis);
       return usualTokens * Math.pow(0.5, age / HALF_LIFE_MILLIS);
     }
+
+    private boolean isForgettable(long nowMillis) {
+      return waiting.isEmpty() && nowMillis - updatedMillis > IDLE_MILLIS;
+    }
+
+    private void left(double start) {
+      waiting.computeIfPresent(start, (tag, count) -> count == 1 ? null : count - 1);
+    }
   }
 
-  private final Map<String, Account> accounts = new HashMap<>();
+  /** In the order of the last arrivals. */
+  private final LinkedHashMap<String, Account> accounts = new LinkedHashMap<>();
+
   private double virtualTime;
+  private double greatestFinish;
 
   /**
    * Records the arrival of a request, whether or not it has to wait.
@@ -53,17 +72,32 @@
    * @param nowMillis the current monotonic time, in milliseconds
    */
   void arrived(String customer, int tokens, long nowMillis) {
-    Account account = accounts.computeIfAbsent(customer, name -> new Account());
+    Account account = accounts.remove(customer);
+    if (account == null) {
+      account = new Account();
+    }
     account.usualTokens = account.usual(nowMillis) + Math.max(1, tokens);
     account.updatedMillis = nowMillis;
+    accounts.put(customer, account);
+    forgetIdle(nowMillis);
+  }
+
+  /** Looks only at the customers that are forgotten and the next one. */
+  private void forgetIdle(long nowMillis) {
+    Iterator<Account> oldest = accounts.values().iterator();
+    while (oldest.hasNext() && oldest.next().isForgettable(nowMillis)) {
+      oldest.remove();
+    }
   }
 
   /** Returns the start tag that the customer's next request would get. */
   double nextStart(String customer) {
     Account account = accounts.get(customer);
-    return account == null
-        ? virtualTime
-        : Math.max(virtualTime, Math.max(account.lastStart, account.finish - TOLERANCE));
+    if (account == null) {
+      return virtualTime;
+    }
+    double start = Math.max(virtualTime, account.finish - TOLERANCE);
+    return account.waiting.isEmpty() ? start : Math.max(start, account.waiting.lastKey());
   }
 
   /**
@@ -90,27 +124,32 @@
   double charge(String customer, double cost) {
     double start = nextStart(customer);
     Account account = accounts.computeIfAbsent(customer, name -> new Account());
-    account.lastStart = start;
-    account.finish = Math.max(start, account.finish) + cost;
+    account.waiting.merge(start, 1, Integer::sum);
+    account.finish = Math.max(virtualTime, account.finish) + cost;
+    greatestFinish = Math.max(greatestFinish, account.finish);
     return start;
   }
 
-  /** Takes back the charge for a request that ended without being placed. */
-  void refund(String customer, double cost) {
-    accounts.get(customer).finish -= cost;
+  /** Takes back the charge for a request with a start tag that ended without being placed. */
+  void refund(String customer, double start, double cost) {
+    Account account = accounts.get(customer);
+    account.left(start);
+    account.finish -= cost;
   }
 
-  /** Records that the request with a start tag was placed. */
-  void placed(double start) {
+  /** Records that a customer's request with a start tag was placed. */
+  void placed(String customer, double start) {
+    accounts.get(customer).left(start);
     virtualTime = Math.max(virtualTime, start);
   }
 
   /** Forgets all charges, as no request waits any more. */
   void settle() {
-    virtualTime = 0;
-    for (Account account : accounts.values()) {
-      account.lastStart = 0;
-      account.finish = 0;
-    }
+    virtualTime = Math.max(virtualTime, greatestFinish);
+  }
+
+  /** Returns the number of customers that are remembered. */
+  int size() {
+    return accounts.size();
   }
 }
--- a/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
@@ -186,7 +186,7 @@
       if (entry.request == request) {
         it.remove();
         recentPlacements(entry.priority, nowMillis).addLast(nowMillis);
-        sharesOf(entry.priority).placed(entry.start);
+        sharesOf(entry.priority).placed(entry.customer, entry.start);
         settleIfNoneWaits(entry.priority);
       }
     }
@@ -223,7 +223,7 @@
   }
 
   private void unplaced(Entry<T> entry) {
-    sharesOf(entry.priority).refund(entry.customer, entry.cost);
+    sharesOf(entry.priority).refund(entry.customer, entry.start, entry.cost);
     settleIfNoneWaits(entry.priority);
   }
 
