A run waits for the holder of its copy while that takes no requests for a moment

Callers lost a stream at once when its replica crashed while the holder of its copy was paused, deferred, cold, just started or failing, although they would have waited for the next event. Only exclusions that don't pass by themselves lose the run now; during the others it waits as resumable streams do, as long as its caller waits for the next event, outside the queue. The retry is taken when the run goes on. The wait has a class of its own, Interruption, which Exchange had kept.

SurvivingStreamIntegrationTest.streamWaitsForHolderThatTakesNoRequestsForMoment failed before (stream broken off); it passes now. RunCopyTest passes.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -19,7 +19,6 @@
 import org.bulrushpier.daemon.net.ResponseHead;
 import org.bulrushpier.limit.ByteBudget;
 import org.bulrushpier.placing.AttemptRace;
-import org.bulrushpier.placing.CallerPatience;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.ResponseTimeout;
@@ -88,11 +87,11 @@
   private KeyHolder holder = KeyHolder.ANONYMOUS;
   private ReplicaSelection selection;
   private Survival survival;
+  private Interruption interruption;
   private long deadlineMillis;
   private final AttemptRace<Attempt> race = new AttemptRace<>();
   private Attempt failedAnswer;
   private long nextPlacementMillis;
-  private boolean isInterrupted;
   private Placement.Wait wait;
   private int attempts;
   private int connectFailures;
@@ -101,7 +100,7 @@
   private long lastEvent = -1;
   private boolean isStreaming;
   private boolean hasUnnumberedEvents;
-  private long lastProgressMillis;
+  private long lastProgressMillis = arrivedMillis;
   private long firstEventAfterMillis = -1;
   private long longestPauseMillis;
   private String attemptEnd = "";
@@ -178,6 +177,7 @@
     String service = route.service(ThreadLocalRandom.current().nextDouble());
     selection = new ReplicaSelection(context, request.prompt(), route, holder, service);
     survival = new Survival(context, request, route, selection, triedReplicas);
+    interruption = new Interruption(context, request, route);
     lastEvent = request.lastEventId();
     Optional<Barred> barred = parts.admit();
     if (barred.isPresent()) {
@@ -241,28 +241,9 @@
     wait = placement;
   }
 
-  /**
-   * Keeps a stream that no engine can continue now for as long as its caller waits for the next
-   * event. It waits outside the queue, as it may depend on other engines than the requests there.
-   */
   private void awaitContinuation(String reason, long nowMillis) {
-    if (CallerPatience.of(route.goalMillis(), route.gapMillis())
-        .isExhausted(lastProgressMillis, nowMillis)) {
+    if (!interruption.prolong(reason, lastEvent, lastProgressMillis, nowMillis)) {
       giveUp(reason);
-    } else if (!isInterrupted) {
-      isInterrupted = true;
-      context
-          .log()
-          .event(
-              "interrupted",
-              "request",
-              request.id(),
-              "lastEvent",
-              lastEvent,
-              "silentForMs",
-              nowMillis - lastProgressMillis,
-              "reason",
-              reason);
     }
   }
 
@@ -333,7 +314,7 @@
           wait = null;
           queue().placed(this, now);
         }
-        isInterrupted = false;
+        interruption.end();
         send(send, remaining, Optional.empty());
       }
       case Placement.Wait busy when isStreaming -> awaitContinuation(busy.reason(), now);
@@ -350,14 +331,18 @@
 
   /** Lets the run of a request that must not be run again go on from its copy. */
   private void goOnAtCopy(long remaining, long now) {
-    switch (survival.continuation(now)) {
+    switch (survival.next(now)) {
       case Continuation.GoOn goOn -> {
-        isInterrupted = false;
+        interruption.end();
         lastEvent = Math.max(lastEvent, 0);
         survival.logGoesOn(goOn.holder(), lastEvent, now - lastProgressMillis, attemptEnd);
         send(survival.use(goOn), remaining, Optional.of(goOn));
       }
-      case Continuation.Lost lost -> giveUp(lost.reason());
+      case Continuation.Wait wait -> awaitContinuation(wait.reason(), now);
+      case Continuation.Lost lost -> {
+        survival.lost();
+        giveUp(lost.reason());
+      }
     }
   }
 
@@ -395,7 +380,7 @@
     }
     if (nowMillis >= deadlineMillis) {
       timedOut();
-    } else if (isInterrupted) {
+    } else if (interruption.isUnderWay()) {
       if (nowMillis >= nextPlacementMillis) {
         nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS;
         tryPlace();
@@ -417,7 +402,8 @@
     for (Attempt attempt : race.running()) {
       if (attempt.inFlight.isStarted()
           && survival.isGone(attempt.replica, lastProgressMillis, nowMillis)
-          && mayGoOn(nowMillis)
+          && mayContinue()
+          && survival.mayGoOn(nowMillis)
           && !parts.isUncertain()) {
         attempt.replica.markUnreachable(nowMillis);
         attempt.replicaLost();
@@ -473,30 +459,21 @@
         && context.retryBudget(selection.service()).tryRetry(MonotonicClock.millis());
   }
 
-  /**
-   * Returns whether the run may go on from its copy, and takes a retry from the budget if so. It is
-   * the same run, so the route's number of attempts is no bound.
-   */
-  private boolean tryAcquireContinuation() {
-    long now = MonotonicClock.millis();
-    boolean isPossible = mayGoOn(now) && context.retryBudget(selection.service()).tryRetry(now);
+  /** Returns whether the run may go on from its copy, now or soon. */
+  private boolean mayGoOnSoon() {
+    boolean isPossible = mayContinue() && survival.mayGoOnSoon(MonotonicClock.millis());
     if (!isPossible) {
       survival.lost();
     }
     return isPossible;
   }
 
-  private boolean mayGoOn(long nowMillis) {
-    return survival.continuation(nowMillis) instanceof Continuation.GoOn
-        && !hasUnnumberedEvents
-        && remainingMillis() > MIN_REMAINING_MILLIS
-        && context.retryBudget(selection.service()).mayRetry(nowMillis);
+  private boolean mayContinue() {
+    return !hasUnnumberedEvents && remainingMillis() > MIN_REMAINING_MILLIS;
   }
 
   private boolean mayRetry(long sends) {
-    return sends - parts.crashedReplicas() < route.maxAttempts()
-        && !hasUnnumberedEvents
-        && remainingMillis() > MIN_REMAINING_MILLIS;
+    return sends - parts.crashedReplicas() < route.maxAttempts() && mayContinue();
   }
 
   private void timedOut() {
@@ -657,7 +634,7 @@
     if (!race.isEmpty()) {
       return;
     }
-    if (isOutcomeUnknown() ? tryAcquireContinuation() : tryAcquireRetry()) {
+    if (isOutcomeUnknown() ? mayGoOnSoon() : tryAcquireRetry()) {
       place();
     } else {
       giveUp(reason);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Survival.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Survival.java
@@ -66,12 +66,37 @@
     return copy.flatMap(RunCopy::holder).map(holder -> holder.entry().id()).orElse("");
   }
 
-  /** Decides whether the run may go on now. */
-  Continuation continuation(long nowMillis) {
-    return copy.map(c -> c.continuation(replica -> selection.mayReceive(replica, nowMillis)))
+  private Continuation continuation(long nowMillis) {
+    return copy.map(c -> c.continuation(replica -> selection.exclusion(replica, nowMillis)))
         .orElse(new Continuation.Lost("there is no copy of its run"));
   }
 
+  /** Returns whether the run may go on now. */
+  boolean mayGoOn(long nowMillis) {
+    return continuation(nowMillis) instanceof Continuation.GoOn && hasRetry(nowMillis);
+  }
+
+  /** Returns whether the run may go on now or as soon as the holder of its copy takes requests. */
+  boolean mayGoOnSoon(long nowMillis) {
+    return !(continuation(nowMillis) instanceof Continuation.Lost) && hasRetry(nowMillis);
+  }
+
+  private boolean hasRetry(long nowMillis) {
+    return context.retryBudget(selection.service()).mayRetry(nowMillis);
+  }
+
+  /**
+   * Decides whether the run goes on now, and takes a retry from the budget if so. It is the same
+   * run, so the route's number of attempts is no bound.
+   */
+  Continuation next(long nowMillis) {
+    Continuation next = continuation(nowMillis);
+    return next instanceof Continuation.GoOn
+            && !context.retryBudget(selection.service()).tryRetry(nowMillis)
+        ? new Continuation.Lost("no retry is left")
+        : next;
+  }
+
   /** Returns the placement of a run that goes on, for which its copy is used. */
   Placement.Send use(Continuation.GoOn continuation) {
     copy.get().used();
--- a/library/src/main/java/org/bulrushpier/survival/RunCopy.java
+++ b/library/src/main/java/org/bulrushpier/survival/RunCopy.java
@@ -1,8 +1,9 @@
 package org.bulrushpier.survival;
 
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.bulrushpier.call.PromptShape;
+import org.bulrushpier.replica.Exclusion;
 import org.bulrushpier.replica.Replica;
 
 /**
@@ -50,6 +51,13 @@
      */
     record GoOn(Replica holder, int weightVersion) implements Continuation {}
 
+    /**
+     * The run cannot go on now, but may soon. Immutable and thread-safe.
+     *
+     * @param reason the reason
+     */
+    record Wait(String reason) implements Continuation {}
+
     /**
      * The run cannot go on. Immutable and thread-safe.
      *
@@ -79,23 +87,25 @@
   /**
    * Decides whether the run may go on now.
    *
-   * @param mayReceive whether a replica may get the request now
-   * @return where it goes on, or why it is lost
+   * @param exclusion why a replica may not get the request now, or empty if it may
+   * @return where it goes on, or why it has to wait or is lost
    */
-  public Continuation continuation(Predicate<Replica> mayReceive) {
+  public Continuation continuation(Function<Replica, Optional<Exclusion>> exclusion) {
     if (holder == null) {
       return new Continuation.Lost("there is no copy of its run");
     }
     if (continuations >= MAX_CONTINUATIONS) {
       return new Continuation.Lost("its run has gone on " + continuations + " times");
     }
-    if (!mayReceive.test(holder)) {
-      return new Continuation.Lost("the replica with its copy takes no requests");
-    }
     if (holder.version(prompt.model()) != weightVersion) {
       return new Continuation.Lost("the replica with its copy has changed its weights");
     }
-    return new Continuation.GoOn(holder, weightVersion);
+    Optional<Exclusion> reason = exclusion.apply(holder);
+    if (reason.isEmpty()) {
+      return new Continuation.GoOn(holder, weightVersion);
+    }
+    String text = "the replica with its copy is " + reason.get().description();
+    return reason.get().isLasting() ? new Continuation.Lost(text) : new Continuation.Wait(text);
   }
 
   /** Records that the run goes on from the copy, which can't be used again. */
--- a/rig/src/test/java/org/bulrushpier/rig/SurvivingStreamIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/SurvivingStreamIntegrationTest.java
@@ -19,6 +19,7 @@
 import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
 import org.bulrushpier.rig.gateway.ReplicaFake.Execution;
 import org.bulrushpier.rig.gateway.ReplicaFake.Pace;
+import org.bulrushpier.rig.gateway.ReplicaFake.RawResponse;
 import org.bulrushpier.rig.gateway.ReplicaFake.Silence;
 import org.bulrushpier.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
@@ -236,6 +237,37 @@
     assertThat(executions("run")).hasSize(1);
   }
 
+  /** A replica that wants no requests for a moment gets the run as soon as the moment is over. */
+  @Test
+  void streamWaitsForHolderThatTakesNoRequestsForMoment() throws Exception {
+    startEngines(2, true);
+    engines.forEach(engine -> engine.setPace(new Pace(0, LONG_EVENT_MILLIS, 0)));
+    Run run = begin("run");
+    ReplicaFake holder = holder(run.engine(), run);
+    holder.setScript(SurvivingStreamIntegrationTest::deferral);
+    for (int i = 0; i < 8; i++) {
+      send("busy" + i);
+    }
+    await(() -> holder.executions().stream().anyMatch(e -> e.requestId().startsWith("busy")));
+    Thread.sleep(100);
+
+    run.engine().crash(ENDLESS_MILLIS);
+
+    assertWhole(run);
+    assertThat(executions("run")).hasSize(2);
+  }
+
+  private static Optional<RawResponse> deferral(Execution execution, boolean isFirst) {
+    return execution.requestId().startsWith("busy")
+        ? Optional.of(
+            new RawResponse(
+                "HTTP/1.1 503 X\r\nAttempt-Id: "
+                    + execution.requestId()
+                    + "\r\nNot-Executed: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+                false))
+        : Optional.empty();
+  }
+
   @Test
   void streamIsCutIfNoCopyHasArrived() throws Exception {
     startEngines(2, true);
