Plain services at large sites: the heavier the load, the more random the choice

Callers of a plain service at a site of many instances were shed by one replica while others had idle slots, once the load passed about three quarters of the capacity: the instances' reports are up to a second old, and the random load that stands for what is not reported had a mean of 6 requests whatever the load was. Its mean is now four times the mean load of the replicas, at least 6 as before; the costs of faults grow with it. Sites without load groups are served as before.

PlainManyInstancesTest.heavyLoadIsSpreadOverAllReplicas and loadOfReplicaThatDiedIsSpreadOverTheOthers failed before.

Not played on a large site.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Explainer.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Explainer.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.daemon.serve;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
@@ -180,10 +181,13 @@
               now));
     }
     if (estimates.isEmpty()) {
-      for (Replica replica : usable) {
-        double cost = context.plainPlacement().cost(replica, now);
-        candidates.add(candidate(replica, "", Explanation.UNKNOWN, null, cost, now));
-      }
+      context
+          .plainPlacement()
+          .costs(usable, now)
+          .forEach(
+              (replica, cost) ->
+                  candidates.add(candidate(replica, "", Explanation.UNKNOWN, null, cost, now)));
+      candidates.sort(Comparator.comparingDouble(Candidate::cost));
     }
     candidates.addAll(excluded);
     return candidates;
--- a/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlainPlacement.java
@@ -1,6 +1,8 @@
 package org.bulrushpier.placing;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bulrushpier.fleet.LoadGroup;
@@ -14,7 +16,8 @@
  * <p>Designed for short requests to few replicas with few slots, where a replica that has stopped
  * answering must not attract further requests before its circuit breaker has counted enough
  * failures to open. At a site with so many instances that all of them send to the replica that
- * looked idle in an old report, the choice is random with a preference for such replicas.
+ * looked idle in an old report, the choice is random with a preference for such replicas. The
+ * preference is the weaker the heavier the load, as more of it is unknown then.
  *
  * <p>Not thread-safe; guarded by the lock of the gateway's event loop.
  */
@@ -39,10 +42,13 @@
   private static final double FAILURE_COST_SLOTS = 20;
 
   /**
-   * The mean of the random load that is added at a large site, in requests. It stands for what
-   * other instances have sent since their last reports.
+   * The least mean of the random load that is added at a large site, in requests. It stands for
+   * what other instances have sent since their last reports.
    */
-  private static final double UNREPORTED_REQUESTS = 6;
+  private static final double MIN_UNREPORTED_REQUESTS = 6;
+
+  /** The mean of that load as a multiple of the mean load of the replicas. */
+  private static final double UNREPORTED_SHARE = 4;
 
   private static final long RETRY_MILLIS = 100;
 
@@ -92,13 +98,13 @@
    * @return the selected replica, or a refusal
    */
   public Placement choose(List<Replica> replicas, Set<String> excluded, long nowMillis) {
+    List<Replica> allowed =
+        replicas.stream().filter(replica -> !excluded.contains(replica.entry().id())).toList();
+    double unreported = unreportedRequests(allowed, nowMillis);
     Replica best = null;
     double bestCost = Double.MAX_VALUE;
-    for (Replica replica : replicas) {
-      if (excluded.contains(replica.entry().id())) {
-        continue;
-      }
-      double cost = cost(replica, nowMillis);
+    for (Replica replica : allowed) {
+      double cost = cost(replica, unreported, nowMillis);
       if (cost < bestCost) {
         best = replica;
         bestCost = cost;
@@ -110,28 +116,55 @@
   }
 
   /**
-   * Returns the cost by which replicas are compared.
+   * Returns the costs by which replicas are compared.
    *
-   * @param replica the replica
+   * @param replicas the candidates, all of them usable
    * @param nowMillis the current monotonic time, in milliseconds
-   * @return the expected load, in relation to the slots of the replica
+   * @return the expected load of each replica, in relation to its slots
    */
-  public double cost(Replica replica, long nowMillis) {
+  public Map<Replica, Double> costs(List<Replica> replicas, long nowMillis) {
+    double unreported = unreportedRequests(replicas, nowMillis);
+    Map<Replica, Double> costs = new LinkedHashMap<>();
+    replicas.forEach(replica -> costs.put(replica, cost(replica, unreported, nowMillis)));
+    return costs;
+  }
+
+  private double cost(Replica replica, double unreported, long nowMillis) {
+    double faultWeight = Math.max(1, unreported / MIN_UNREPORTED_REQUESTS);
     double load =
-        replica.ownRequests()
-            + Math.max(
-                replica.otherRequests(nowMillis, LOAD_VALIDITY_MILLIS),
-                peers.at(replica.entry().id(), Integer.MAX_VALUE).requests())
-            + replica.overdueRequests(nowMillis) * OVERDUE_COST_SLOTS
-            + Math.max(0, replica.failureShare(nowMillis) - TOLERATED_FAILURE_SHARE)
-                * FAILURE_COST_SLOTS;
+        knownRequests(replica, nowMillis)
+            + unreported * random.nextExponential()
+            + faultWeight * faultCost(replica, nowMillis);
     if (!replica.entry().domain().equals(domain)) {
       load += CROSSING_COST_SLOTS;
     }
-    if (group.isLargeSite()) {
-      load += UNREPORTED_REQUESTS * random.nextExponential();
-    }
     double duration = replica.workDurationFactor(nowMillis);
     return (load * duration + duration - 1) / Math.max(1, replica.entry().slots());
   }
+
+  private int knownRequests(Replica replica, long nowMillis) {
+    return replica.ownRequests()
+        + Math.max(
+            replica.otherRequests(nowMillis, LOAD_VALIDITY_MILLIS),
+            peers.at(replica.entry().id(), Integer.MAX_VALUE).requests());
+  }
+
+  /** Returns the mean of the random load that stands for unreported requests at a replica. */
+  private double unreportedRequests(List<Replica> replicas, long nowMillis) {
+    if (!group.isLargeSite()) {
+      return 0;
+    }
+    double mean =
+        replicas.stream()
+            .mapToInt(replica -> knownRequests(replica, nowMillis))
+            .average()
+            .orElse(0);
+    return Math.max(MIN_UNREPORTED_REQUESTS, UNREPORTED_SHARE * mean);
+  }
+
+  private static double faultCost(Replica replica, long nowMillis) {
+    return replica.overdueRequests(nowMillis) * OVERDUE_COST_SLOTS
+        + Math.max(0, replica.failureShare(nowMillis) - TOLERATED_FAILURE_SHARE)
+            * FAILURE_COST_SLOTS;
+  }
 }
--- a/library/src/test/java/org/bulrushpier/placing/PlainManyInstancesTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlainManyInstancesTest.java
@@ -21,7 +21,8 @@
 /**
  * Plays short calls from many instances, which hear from each other once a second, to the few
  * replicas of a plain service, and checks what callers get. If all instances send to the replica
- * that looked idle in the last reports, its queue fills while others are idle.
+ * that looked idle in the last reports, its queue fills while others are idle; the heavier the
+ * load, the longer.
  */
 class PlainManyInstancesTest {
 
@@ -31,7 +32,7 @@
   private static final int SLOTS = 6;
   private static final int QUEUE = 24;
   private static final double MEAN_WORK_MILLIS = 68;
-  private static final double CALLS_PER_MILLI = 0.2;
+  private static final double CAPACITY_PER_MILLI = REPLICAS * SLOTS / MEAN_WORK_MILLIS;
   private static final long EXCHANGE_MILLIS = 1_000;
   private static final long PHASE_MILLIS = 10;
   private static final long GOAL_MILLIS = 300;
@@ -63,8 +64,12 @@
         new PriorityQueue<>((a, b) -> Double.compare(a.endMillis, b.endMillis));
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
 
+    private boolean isDead;
+
     boolean accept(Call call) {
-      if (running.size() < SLOTS) {
+      if (isDead) {
+        return false;
+      } else if (running.size() < SLOTS) {
         start(call, now);
       } else if (waiting.size() < QUEUE) {
         waiting.add(call);
@@ -79,6 +84,14 @@
       running.add(new Running(call, millis + work));
     }
 
+    void die() {
+      isDead = true;
+      running.forEach(ended -> ended.call.replica.end(ended.call.id));
+      waiting.forEach(call -> call.replica.end(call.id));
+      running.clear();
+      waiting.clear();
+    }
+
     void advance() {
       while (!running.isEmpty() && running.peek().endMillis <= now) {
         Running ended = running.poll();
@@ -88,6 +101,7 @@
         }
         call.replica.recordLoad(new ReportedLoad(running.size(), waiting.size(), SLOTS), now);
         call.replica.end(call.id);
+        call.replica.recordOutcome(false, now);
         if (now - call.sentMillis <= GOAL_MILLIS) {
           inTime++;
         }
@@ -115,12 +129,21 @@
 
     void arrive(String id) {
       calls++;
-      Replica replica = ((Placement.Send) placement.choose(replicas, Set.of(), now)).replica();
-      Call call = new Call(this, replica, id, now);
-      if (servers.get(replicas.indexOf(replica)).accept(call)) {
+      send(id);
+    }
+
+    private void send(String id) {
+      List<Replica> usable = replicas.stream().filter(replica -> replica.isUsable(now)).toList();
+      Replica replica = ((Placement.Send) placement.choose(usable, Set.of(), now)).replica();
+      Server server = servers.get(replicas.indexOf(replica));
+      if (server.accept(new Call(this, replica, id, now))) {
         replica.begin(id, new Replica.InFlightRequest(0, 0, 0, 0, now, now + 2 * GOAL_MILLIS));
+      } else if (server.isDead) {
+        replica.breaker().failed(now);
+        send(id);
       } else {
         shed++;
+        replica.recordOutcome(true, now);
       }
     }
 
@@ -138,12 +161,13 @@
     }
   }
 
-  private void play(long untilMillis) {
-    double next = 0;
+  private void play(double shareOfCapacity, long untilMillis) {
+    double callsPerMilli = shareOfCapacity * CAPACITY_PER_MILLI;
+    double next = now;
     while (now < untilMillis) {
       now++;
       servers.forEach(Server::advance);
-      for (; next <= now; next += random.nextExponential() / CALLS_PER_MILLI) {
+      for (; next <= now; next += random.nextExponential() / callsPerMilli) {
         instances.get(random.nextInt(INSTANCES)).arrive("c" + calls);
       }
       for (Instance instance : instances) {
@@ -157,15 +181,40 @@
     }
   }
 
-  @Test
-  void callsAreSpreadOverAllReplicas() {
+  private void groupInstances() {
     instances.forEach(
         instance ->
             instance.group.update(
                 instance.address, INSTANCES, List.of(instance.address), Map.of()));
-    play(20_000);
+  }
+
+  @Test
+  void callsAreSpreadOverAllReplicas() {
+    groupInstances();
+    play(0.57, 20_000);
 
     assertThat(inTime).isGreaterThan((int) (0.97 * calls));
     assertThat(shed).isLessThan(calls / 200);
   }
+
+  /** One replica shed calls while the next had idle slots, until the next reports. */
+  @Test
+  void heavyLoadIsSpreadOverAllReplicas() {
+    groupInstances();
+    play(0.9, 20_000);
+
+    assertThat(inTime).isGreaterThan((int) (0.9 * calls));
+    assertThat(shed).isLessThan(calls / 100);
+  }
+
+  @Test
+  void loadOfReplicaThatDiedIsSpreadOverTheOthers() {
+    groupInstances();
+    play(0.65, 8_000);
+    servers.get(0).die();
+    play(0.65, 20_000);
+
+    assertThat(inTime).isGreaterThan((int) (0.95 * calls));
+    assertThat(shed).isLessThan(calls / 100);
+  }
 }
