Cut slow readers when others lack room, by what callers lose

Callers saw: two that stopped reading their streams (3 MB unread each, in a budget of 8 MB) had all others refused with 503, until they had read or left; responses waited unread at replicas, which cut those off after some seconds. And if there was no room for output, a ready answer was closed as soon as a stream, and one that had just begun as soon as one unread for a minute.

Cause: the ceilings of the message budget are for the sum of all uses, but only output made unread output give way, the largest first, whatever it was.

Change: SlowReaders decides without network or clock whom to cut: nobody while there is room; else callers that are behind by 2 s (streams) or 15 s (ready answers, also the rest of a stream), streams first, the fewest that make enough room, nobody if all would not. UnreadBytes knows the age of the oldest unread byte. ByteBudget asks for whoever lacks room, and every 25 ms for those who wait. What was already there is kept: an instance never stops reading a stream from its replica, a request's bytes are kept once for all its replicas. Each cut has a line of `net` with its reason and a metric.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/CallerConnection.java
@@ -5,6 +5,7 @@
 import java.util.function.ToLongFunction;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.limit.ByteBudget;
+import org.bulrushpier.limit.SlowReaders;
 import org.bulrushpier.site.CallerLimits;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
@@ -86,6 +87,13 @@
       return HttpFields.EMPTY;
     }
 
+    /**
+     * A caller is about to be cut, as others need the room that its unread output takes.
+     *
+     * @param kind what it loses
+     */
+    default void slowReaderCut(SlowReaders.Kind kind) {}
+
     /**
      * Returns whether responses should ask callers to close their connections.
      *
@@ -105,6 +113,7 @@
 
   private final MessageBuffer body;
   private final ByteBudget.Account keptAhead;
+  private final Output output = new Output();
   private final ByteBudget.Account keptOutput;
   private boolean isHeadComplete;
   private boolean isAwaitingRoom;
@@ -130,7 +139,7 @@
     kept = budget.open(ByteBudget.Use.REQUEST);
     body = MessageBuffer.of(kept, Integer.MAX_VALUE);
     keptAhead = budget.open(ByteBudget.Use.REQUEST);
-    keptOutput = budget.openEvictable(ByteBudget.Use.OUTPUT, this::evictOutput);
+    keptOutput = budget.openOutput(output);
     createParser(handler.limits().headerBytes());
   }
 
@@ -374,22 +383,56 @@
     }
   }
 
-  private void evictOutput() {
+  /** The output as the budget sees it. Guarded by the loop's lock. */
+  private final class Output implements ByteBudget.Output {
+
+    @Override
+    public SlowReaders.Kind kind() {
+      return isResponding && isChunkedResponse ? SlowReaders.Kind.STREAM : SlowReaders.Kind.READY;
+    }
+
+    @Override
+    public long unreadMillis() {
+      return CallerConnection.this.unreadMillis();
+    }
+
+    @Override
+    public void cut(long bytes) {
+      cutReader(bytes, "others need the room");
+    }
+  }
+
+  private void cutReader(long bytes, String reason) {
+    if (isClosed()) {
+      return;
+    }
     log.info(
-        "net: {} has not read {} bytes and was closed, as there is no more room.",
+        "net: {} was cut as it reads slowly and {}: {}, {} bytes unread, the oldest for {} ms.",
         getEndPoint().getRemoteSocketAddress(),
-        keptOutput.bytes());
-    ended(true, "the peer does not read");
-    disconnect();
+        reason,
+        output.kind(),
+        bytes,
+        output.unreadMillis());
+    handler.slowReaderCut(output.kind());
+    try {
+      ended(true, reason);
+    } finally {
+      disconnect();
+    }
   }
 
   @Override
   void outputPending(long bytes) {
     if (!keptOutput.resize(bytes)) {
-      evictOutput();
+      cutReader(bytes, "there is no more room");
     }
   }
 
+  @Override
+  void queueFull(long bytes) {
+    cutReader(bytes, "its queue is full");
+  }
+
   @Override
   void closed() {
     pipelined = null;
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/HttpConnection.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import org.bulrushpier.MonotonicClock;
+import org.bulrushpier.limit.UnreadBytes;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
@@ -49,6 +51,7 @@
   private final ArrayDeque<ByteBuffer> writeQueue = new ArrayDeque<>();
   private long queuedBytes;
   private long writingBytes;
+  private final UnreadBytes unread = new UnreadBytes();
   private boolean isWriting;
   private boolean closesAfterWrite;
   private boolean isLingering;
@@ -154,10 +157,11 @@
       return;
     }
     if (queuedBytes > MAX_QUEUED_BYTES) {
-      finish(true, "the peer does not read");
+      queueFull(queuedBytes + writingBytes);
       return;
     }
     queuedBytes += buffer.remaining();
+    unread.written(buffer.remaining(), MonotonicClock.millis());
     for (int start = buffer.position(); start < buffer.limit(); start += MAX_WRITE_BYTES) {
       writeQueue.add(buffer.slice(start, Math.min(MAX_WRITE_BYTES, buffer.limit() - start)));
     }
@@ -195,6 +199,15 @@
    */
   void outputPending(long bytes) {}
 
+  /**
+   * The peer has read so little that no more is queued for it; the connection must be closed.
+   *
+   * @param bytes the bytes that wait to be written
+   */
+  void queueFull(long bytes) {
+    finish(true, "the peer does not read");
+  }
+
   /** The connection was closed and keeps no bytes any more. */
   void closed() {}
 
@@ -204,6 +217,11 @@
     }
   }
 
+  /** Returns the age of the oldest byte that waits to be written, in milliseconds; 0 if none. */
+  final long unreadMillis() {
+    return unread.oldestMillis(MonotonicClock.millis());
+  }
+
   private void linger() {
     isLingering = true;
     getEndPoint().shutdownOutput();
@@ -286,6 +304,7 @@
       loop.run(
           () -> {
             isWriting = false;
+            unread.read(writingBytes);
             writingBytes = 0;
             flush();
             recordPendingOutput();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -17,6 +17,7 @@
 import org.bulrushpier.daemon.net.CallerConnection;
 import org.bulrushpier.daemon.net.EventLoop;
 import org.bulrushpier.daemon.net.InboundRequest;
+import org.bulrushpier.limit.SlowReaders;
 import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.settings.GatewaySettings;
 import org.bulrushpier.site.CallerLimits;
@@ -151,6 +152,12 @@
             "bulrushpier.messages.kept.bytes",
             "Bytes of requests, responses and unread output that this process keeps",
             () -> loop.budget().used());
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.output.unread.bytes",
+            "Bytes that callers have not read yet",
+            () -> loop.budget().unread());
     context.metrics().gauge("bulrushpier.requests.running", "Requests under way", exchanges::size);
     context
         .metrics()
@@ -296,6 +303,7 @@
     if (stalledMillis > 0) {
       context.log().event("stalled", "forMs", stalledMillis, "running", exchanges.size());
     }
+    loop.run(loop.budget()::relieve);
     loop.run(() -> context.cold().tick(now));
     loop.run(() -> sources.tick(stalledMillis, now));
     loop.run(() -> context.paces().tick(now));
@@ -489,6 +497,11 @@
       }
     }
 
+    @Override
+    public void slowReaderCut(SlowReaders.Kind kind) {
+      context.metrics().slowReaderCut(kind);
+    }
+
     @Override
     public CallerLimits limits() {
       return context
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -6,10 +6,13 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.bulrushpier.limit.SlowReaders;
 
 /**
  * Counters and latency histograms of a gateway. Thread-safe.
@@ -36,6 +39,8 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<String, Counter> outcomes = new HashMap<>();
   private final Map<String, Counter> interrupted = new HashMap<>();
+  private final Map<SlowReaders.Kind, Counter> slowReadersCut =
+      new EnumMap<>(SlowReaders.Kind.class);
   private final Map<String, Counter> storeWatches = new HashMap<>();
   private final Map<String, Counter> storeSourceChanges = new HashMap<>();
   private final Counter followersServed =
@@ -222,6 +227,23 @@
     copiedTokens.increment(tokens);
   }
 
+  /**
+   * Counts a caller that was cut as others need the room of what it has not read.
+   *
+   * @param kind what it loses
+   */
+  void slowReaderCut(SlowReaders.Kind kind) {
+    slowReadersCut
+        .computeIfAbsent(
+            kind,
+            name ->
+                Counter.builder("bulrushpier.slow.readers.cut")
+                    .description("Callers that were cut as they read slowly, by what they lost")
+                    .tag("kind", name.name().toLowerCase(Locale.ROOT))
+                    .register(registry))
+        .increment();
+  }
+
   /**
    * Counts a run whose replica was lost.
    *
--- a/library/src/main/java/org/bulrushpier/limit/ByteBudget.java
+++ b/library/src/main/java/org/bulrushpier/limit/ByteBudget.java
@@ -62,12 +62,32 @@
   /** The accounts that give way and are not small. */
   private final Set<Account> evictable = new LinkedHashSet<>();
 
+  /** The accounts of callers that have not read all of their output. */
+  private final Set<OutputAccount> outputs = new LinkedHashSet<>();
+
   private long used;
   private boolean isGrantScheduled;
 
   /** A growth for which there was no room. Immutable and thread-safe. */
   private record Waiter(Account account, long bytes, Runnable granted) {}
 
+  /** What is written to a caller as fast as it reads. */
+  public interface Output {
+
+    /** Returns the kind of the response. */
+    SlowReaders.Kind kind();
+
+    /** Returns the age of the oldest byte that the caller has not read, in milliseconds. */
+    long unreadMillis();
+
+    /**
+     * Closes the caller's connection, as others need the room of its output.
+     *
+     * @param bytes the number of bytes that were kept for the caller
+     */
+    void cut(long bytes);
+  }
+
   private ByteBudget(long capacity, Executor later) {
     this.capacity = capacity;
     this.later = later;
@@ -97,6 +117,11 @@
     return used;
   }
 
+  /** Returns the bytes that callers have not read yet. */
+  public long unread() {
+    return outputs.stream().mapToLong(Account::bytes).sum();
+  }
+
   /**
    * Opens an account whose bytes stay until it is closed.
    *
@@ -118,16 +143,69 @@
     return new Account(use, evicted);
   }
 
+  /**
+   * Opens an account for output. It gives way to others of any use as {@link SlowReaders} decides;
+   * its room is free at once, its connection is closed soon after.
+   *
+   * @param output the output
+   * @return the empty account
+   */
+  public Account openOutput(Output output) {
+    return new OutputAccount(output);
+  }
+
+  /**
+   * Makes room for those who wait if it is taken by callers that have fallen behind meanwhile. To
+   * be called regularly.
+   */
+  public void relieve() {
+    for (Queue<Waiter> queue : waiters.values()) {
+      if (!queue.isEmpty()) {
+        cutSlowReaders(queue.peek().account, queue.peek().bytes);
+      }
+    }
+  }
+
   private boolean hasRoom(Account account, long bytes) {
+    return missing(account, bytes) <= 0;
+  }
+
+  /** Returns by how many bytes the ceiling would be exceeded. */
+  private long missing(Account account, long bytes) {
     double share = account.use.share;
     if (account.staysSmall(bytes)) {
       share += SMALL_SHARE;
     }
-    return used + bytes <= share * capacity;
+    return (long) Math.ceil(used + bytes - share * capacity);
   }
 
-  /** Makes room by closing larger accounts that give way; the given one stays. */
+  private void cutSlowReaders(Account account, long bytes) {
+    long missing = missing(account, bytes);
+    if (missing > 0 && !outputs.isEmpty()) {
+      SlowReaders.cutsForOthers(outputs, missing).forEach(OutputAccount::cut);
+    }
+  }
+
+  /** Makes room by closing accounts that give way; the given one stays. */
   private boolean makeRoom(Account account, long bytes) {
+    cutSlowReaders(account, bytes);
+    return account instanceof OutputAccount
+        ? makeRoomForOutput(account, bytes)
+        : makeRoomOfSameUse(account, bytes);
+  }
+
+  private boolean makeRoomForOutput(Account account, long bytes) {
+    while (!hasRoom(account, bytes)) {
+      Optional<OutputAccount> last = SlowReaders.lastResort(outputs);
+      if (last.isEmpty() || last.get() == account) {
+        return false;
+      }
+      last.get().cut();
+    }
+    return true;
+  }
+
+  private boolean makeRoomOfSameUse(Account account, long bytes) {
     while (!hasRoom(account, bytes)) {
       Optional<Account> largest =
           evictable.stream()
@@ -179,8 +257,8 @@
    *
    * <p>Not thread-safe; guarded like the budget.
    */
-  public final class Account {
-    private final Use use;
+  public class Account {
+    final Use use;
     private final Runnable evicted;
     private long bytes;
 
@@ -263,7 +341,7 @@
       return true;
     }
 
-    private void add(long added) {
+    void add(long added) {
       bytes += added;
       used += added;
       if (evicted != null) {
@@ -291,4 +369,51 @@
       scheduleGrants();
     }
   }
+
+  /**
+   * The output of one caller. Once it has been cut it keeps no bytes any more.
+   *
+   * <p>Not thread-safe; guarded like the budget.
+   */
+  private final class OutputAccount extends Account implements SlowReaders.Reader {
+    private final Output output;
+    private boolean isCut;
+
+    OutputAccount(Output output) {
+      super(Use.OUTPUT, null);
+      this.output = output;
+    }
+
+    @Override
+    public SlowReaders.Kind kind() {
+      return output.kind();
+    }
+
+    @Override
+    public long unreadMillis() {
+      return output.unreadMillis();
+    }
+
+    @Override
+    public boolean grow(long added) {
+      return isCut || super.grow(added);
+    }
+
+    @Override
+    void add(long added) {
+      super.add(isCut ? 0 : added);
+      if (bytes() > 0) {
+        outputs.add(this);
+      } else {
+        outputs.remove(this);
+      }
+    }
+
+    private void cut() {
+      long cutBytes = bytes();
+      close();
+      isCut = true;
+      later.execute(() -> output.cut(cutBytes));
+    }
+  }
 }
--- a/library/src/test/java/org/bulrushpier/limit/ByteBudgetTest.java
+++ b/library/src/test/java/org/bulrushpier/limit/ByteBudgetTest.java
@@ -116,6 +116,102 @@
     assertThat(events).isEmpty();
   }
 
+  /** Output of a caller that reads nothing. */
+  private final class Unread implements ByteBudget.Output {
+    private final String name;
+    private final SlowReaders.Kind kind;
+    private long unreadMillis;
+
+    Unread(String name, SlowReaders.Kind kind, long unreadMillis) {
+      this.name = name;
+      this.kind = kind;
+      this.unreadMillis = unreadMillis;
+    }
+
+    @Override
+    public SlowReaders.Kind kind() {
+      return kind;
+    }
+
+    @Override
+    public long unreadMillis() {
+      return unreadMillis;
+    }
+
+    @Override
+    public void cut(long bytes) {
+      events.add(name + " " + bytes);
+    }
+  }
+
+  private Unread unread(String name, SlowReaders.Kind kind, long unreadMillis, long bytes) {
+    Unread output = new Unread(name, kind, unreadMillis);
+    assertThat(budget.openOutput(output).resize(bytes)).isTrue();
+    return output;
+  }
+
+  @Test
+  void slowReadersGiveWayToAllUses() {
+    long behind = SlowReaders.Kind.STREAM.patienceMillis();
+    for (Use use : Use.values()) {
+      unread("slow", SlowReaders.Kind.STREAM, behind, 8 * LARGE);
+
+      final Account account = filled(use, LARGE);
+      assertThat(budget.unread()).isZero();
+      runLater();
+
+      assertThat(events).containsExactly("slow " + 8 * LARGE);
+      events.clear();
+      account.close();
+    }
+  }
+
+  @Test
+  void thoseWhoWaitGetRoomOnceReadersAreFarBehind() {
+    final Unread output = unread("slow", SlowReaders.Kind.STREAM, 0, 8 * LARGE);
+    Account waiting = budget.open(Use.RESPONSE);
+    assertThat(waiting.growOrWait(LARGE, () -> events.add("granted"))).isFalse();
+    budget.relieve();
+    runLater();
+    assertThat(events).isEmpty();
+
+    output.unreadMillis = SlowReaders.Kind.STREAM.patienceMillis();
+    budget.relieve();
+    runLater();
+
+    assertThat(events).containsExactlyInAnyOrder("slow " + 8 * LARGE, "granted");
+    assertThat(budget.used()).isEqualTo(LARGE);
+  }
+
+  @Test
+  void readyAnswerDisplacesStreamsIfThereIsNoRoomForOutput() {
+    unread("stream", SlowReaders.Kind.STREAM, 0, 3 * LARGE);
+    unread("ready", SlowReaders.Kind.READY, 0, 4 * LARGE);
+
+    unread("new", SlowReaders.Kind.READY, 0, 4 * LARGE);
+    runLater();
+
+    assertThat(events).containsExactly("stream " + 3 * LARGE);
+  }
+
+  /** Its connection is closed soon after and may be written to until then. */
+  @Test
+  void callerThatWasCutKeepsNothingAnyMore() {
+    Unread output =
+        new Unread("slow", SlowReaders.Kind.STREAM, SlowReaders.Kind.STREAM.patienceMillis());
+    Account account = budget.openOutput(output);
+    account.resize(6 * LARGE);
+    final Account other = filled(Use.REQUEST, LARGE);
+
+    assertThat(account.resize(7 * LARGE)).isTrue();
+    runLater();
+    account.close();
+
+    assertThat(budget.used()).isEqualTo(LARGE);
+    other.close();
+    assertThat(budget.used()).isZero();
+  }
+
   @Property
   void sumNeverExceedsTheCapacity(
       @ForAll @Size(max = 200) List<@IntRange(max = 9_999_999) Integer> steps) {
@@ -124,6 +220,8 @@
       accounts.add(budget.open(use));
       accounts.add(budget.openEvictable(use, () -> {}));
       accounts.add(budget.openEvictable(use, () -> {}));
+      SlowReaders.Kind kind = SlowReaders.Kind.values()[use.ordinal() % 2];
+      accounts.add(budget.openOutput(new Unread("output", kind, use.ordinal() * 6_000L)));
     }
     for (int step : steps) {
       Account account = accounts.get(step % accounts.size());
@@ -134,6 +232,7 @@
         default -> account.grow(step / 8);
       }
       if (step % 3 == 0) {
+        budget.relieve();
         runLater();
       }
       assertThat(budget.used())
