Copies of runs: a draw no longer misses the only suitable replica of a small service

In services of few replicas some streams had no copy although a replica could hold one, and were lost with their replica: eight draws with replacement from three replicas miss a given one in 4 of 100 cases. A service with no more replicas than are drawn is looked at as a whole, from a drawn first one on; others are drawn from as before.

CopyPlacementTest.onlySuitableReplicaOfSmallServiceIsAlwaysFound failed before.

--- a/library/src/main/java/org/bulrushpier/survival/CopyPlacement.java
+++ b/library/src/main/java/org/bulrushpier/survival/CopyPlacement.java
@@ -1,5 +1,6 @@
 package org.bulrushpier.survival;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
@@ -30,7 +31,7 @@
    */
   private static final int MAX_PROMPT_PER_OUTPUT = 100;
 
-  /** The number of replicas that are drawn. */
+  /** The number of replicas that are drawn; a service with no more is looked at as a whole. */
   private static final int DRAWS = 8;
 
   /**
@@ -102,8 +103,7 @@
     long least = 0;
     int full = 0;
     int roomy = 0;
-    for (int i = 0; i < DRAWS && !replicas.isEmpty(); i++) {
-      Replica drawn = replicas.get(random.nextInt(replicas.size()));
+    for (Replica drawn : draw(replicas)) {
       if (!isSuitable(drawn, run, prompt.model(), nowMillis) || !mayReceive.test(drawn)) {
         continue;
       }
@@ -124,6 +124,17 @@
     return full >= roomy ? Optional.empty() : Optional.ofNullable(best);
   }
 
+  /** Returns some replicas, or all of a service that has few. */
+  private List<Replica> draw(List<Replica> replicas) {
+    List<Replica> drawn = new ArrayList<>(DRAWS);
+    int first = replicas.isEmpty() ? 0 : random.nextInt(replicas.size());
+    for (int i = 0; i < Math.min(DRAWS, replicas.size()); i++) {
+      int index = replicas.size() > DRAWS ? random.nextInt(replicas.size()) : first + i;
+      drawn.add(replicas.get(index % replicas.size()));
+    }
+    return drawn;
+  }
+
   private static boolean isSuitable(Replica replica, Replica run, String model, long nowMillis) {
     int version = run.version(model);
     return !replica.entry().id().equals(run.entry().id())
--- a/library/src/test/java/org/bulrushpier/survival/CopyPlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/survival/CopyPlacementTest.java
@@ -208,6 +208,24 @@
     assertThat(choose(known, List.of(unknown, other, known), Set.of())).isEmpty();
   }
 
+  /** In a service of few replicas a draw must not miss the only one that can hold the copy. */
+  @Test
+  void onlySuitableReplicaOfSmallServiceIsAlwaysFound() {
+    for (int size = 2; size <= 8; size++) {
+      List<Replica> replicas = new ArrayList<>();
+      Set<String> excluded = new HashSet<>();
+      for (int i = 0; i < size; i++) {
+        replicas.add(replica("e" + i, "a", 1));
+        excluded.add("e" + i);
+      }
+      excluded.remove("e" + (size - 1));
+
+      for (int i = 0; i < 200; i++) {
+        assertThat(choose(replicas.get(0), replicas, excluded)).contains(replicas.get(size - 1));
+      }
+    }
+  }
+
   /** Many runs at once do not heap their copies on few replicas. */
   @Test
   void copiesSpreadOverReplicas() {
