Requests behind others: refused at once if no replica may take them, served where none before them waits

Callers: while others waited, a request whose replicas were all evacuated or outside its homes waited too and was refused late with the reason of the queue. And one that only cold or busy home replicas could take held up all requests behind it at that instance until it expired, though other replicas were free.

Cause: Exchange.place put a request behind others without asking the operators' refusal; the queue gave turns to its first request only. Change: the refusal (also the one while evacuations aren't known) is asked for first. In each round all waiting requests get turns in their order (PlacementRound); one that goes on waiting reserves the replicas that it may use, so that none behind it is placed there before it. The round ends at the first that may use all replicas, as before.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -20,7 +20,6 @@
 import org.bulrushpier.limit.ByteBudget;
 import org.bulrushpier.placing.AttemptRace;
 import org.bulrushpier.placing.Placement;
-import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.ResponseTimeout;
 import org.bulrushpier.poison.PartAdmission.Barred;
 import org.bulrushpier.replica.ColdSpell;
@@ -92,7 +91,7 @@
   private final AttemptRace<Attempt> race = new AttemptRace<>();
   private Attempt failedAnswer;
   private long nextPlacementMillis;
-  private Placement.Wait wait;
+  private QueueWait queueWait;
   private int attempts;
   private int connectFailures;
   private boolean mayHaveRun;
@@ -176,6 +175,8 @@
     }
     String service = route.service(ThreadLocalRandom.current().nextDouble());
     selection = new ReplicaSelection(context, request.prompt(), route, holder, service);
+    int promptTokens = request.prompt().map(PromptShape::totalTokens).orElse(0);
+    queueWait = new QueueWait(context, this, selection, promptTokens);
     survival = new Survival(context, request, route, selection, triedReplicas);
     interruption = new Interruption(context, request, route);
     lastEvent = request.lastEventId();
@@ -186,7 +187,7 @@
     }
     context.retryBudget(service).recordFirstAttempt(arrivedMillis);
     if (request.prompt().isPresent()) {
-      queue().arrived(holder.customer(), promptTokens(), selection.priority(), arrivedMillis);
+      queueWait.arrived(arrivedMillis);
     }
     place();
   }
@@ -207,82 +208,37 @@
     if (!race.isEmpty()) {
       return;
     }
-    if (request.prompt().isEmpty() || attempts > 0 || !queue().isAhead(selection.priority())) {
+    long now = MonotonicClock.millis();
+    Optional<Placement> behindOthers =
+        request.prompt().isEmpty() || attempts > 0 ? Optional.empty() : queueWait.behindOthers(now);
+    if (behindOthers.isEmpty()) {
       tryPlace();
-    } else if (queue()
-        .isFull(
-            holder.customer(), selection.priority(), route.goalMillis(), MonotonicClock.millis())) {
-      refuseOverloaded("too many other requests wait for an engine");
     } else {
-      await(new Placement.Wait("other requests wait for an engine"));
+      follow(behindOthers.get(), now);
     }
   }
 
-  private PlacementQueue<Exchange> queue() {
-    return context.placementQueue(selection.service());
-  }
-
-  private int promptTokens() {
-    return request.prompt().map(PromptShape::totalTokens).orElse(0);
-  }
-
-  /** Waits for an engine. */
-  private void await(Placement.Wait placement) {
-    if (wait == null) {
-      queue()
-          .add(
-              this,
-              holder.customer(),
-              promptTokens(),
-              selection.priority(),
-              route.goalMillis(),
-              MonotonicClock.millis());
-    }
-    wait = placement;
-  }
-
   private void awaitContinuation(String reason, long nowMillis) {
     if (!interruption.prolong(reason, lastEvent, lastProgressMillis, nowMillis)) {
       giveUp(reason);
     }
   }
 
-  /**
-   * Tries to place this request, which waits for an engine.
-   *
-   * @return whether it has left the queue
-   */
-  boolean placeWaiting() {
-    tryPlace();
-    return wait == null;
-  }
-
-  /** Refuses this request, which has left the queue because it waited too long. */
-  void waitExpired() {
-    String reason = wait.reason();
-    wait = null;
-    refuseOverloaded(reason);
+  /** Tries to place this request, which waits, at another replica than the reserved ones. */
+  void placeWaiting(Set<String> reserved) {
+    tryPlace(reserved);
   }
 
-  private void refuseOverloaded(String reason) {
-    giveUp(
-        reason,
-        queue()
-            .retryDelayMillis(
-                selection.priority(),
-                route.goalMillis(),
-                MonotonicClock.millis(),
-                ThreadLocalRandom.current()));
+  /** Returns the ids of the replicas to which the request was sent or could not be sent. */
+  Set<String> triedReplicas() {
+    return triedReplicas;
   }
 
-  private void leaveQueue() {
-    if (wait != null) {
-      wait = null;
-      queue().remove(this);
-    }
+  private void tryPlace() {
+    tryPlace(Set.of());
   }
 
-  private void tryPlace() {
+  private void tryPlace(Set<String> reserved) {
     long remaining = remainingMillis();
     if (remaining < MIN_REMAINING_MILLIS) {
       giveUp("no time left");
@@ -302,24 +258,25 @@
       goOnAtCopy(remaining, now);
       return;
     }
-    Placement placement = selection.choose(triedReplicas, remaining, now);
+    Placement placement = selection.choose(triedReplicas, reserved, remaining, now);
     if (placement instanceof Placement.Refuse && !lostReplicas.isEmpty()) {
       Set<String> excluded = new HashSet<>(triedReplicas);
       excluded.removeAll(lostReplicas);
-      placement = selection.choose(excluded, remaining, now);
+      placement = selection.choose(excluded, reserved, remaining, now);
     }
+    follow(placement, now);
+  }
+
+  private void follow(Placement placement, long now) {
     switch (placement) {
       case Placement.Send send -> {
-        if (wait != null) {
-          wait = null;
-          queue().placed(this, now);
-        }
+        queueWait.placed(now);
         interruption.end();
-        send(send, remaining, Optional.empty());
+        send(send, remainingMillis(), Optional.empty());
       }
       case Placement.Wait busy when isStreaming -> awaitContinuation(busy.reason(), now);
       case Placement.Refuse refusal when isStreaming -> awaitContinuation(refusal.reason(), now);
-      case Placement.Wait busy -> await(busy);
+      case Placement.Wait busy -> queueWait.await(busy, now);
       case Placement.Refuse refusal -> giveUp(refusal.reason(), refusal.retryAfterMillis());
     }
   }
@@ -511,7 +468,8 @@
     giveUp(reason, REFUSED_RETRY_MILLIS);
   }
 
-  private void giveUp(String reason, long retryAfterMillis) {
+  /** Ends the request without a response of a replica, unless one has failed that tells more. */
+  void giveUp(String reason, long retryAfterMillis) {
     cancelAttempts("given up");
     if (caller.isResponseStarted()) {
       cut(reason);
@@ -616,7 +574,9 @@
   private void finish(String outcome) {
     isDone = true;
     cancelAttempts(outcome);
-    leaveQueue();
+    if (queueWait != null) {
+      queueWait.leave();
+    }
     if (survival != null) {
       survival.release();
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Explainer.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Explainer.java
@@ -123,7 +123,7 @@
     long now = MonotonicClock.millis();
     List<Candidate> candidates = candidates(selection, now);
     Placement placement = selection.preview(waitMillis, now);
-    PlacementQueue<Exchange> queue = context.placementQueue(selection.service());
+    PlacementQueue<QueueWait> queue = context.placementQueue(selection.service());
     if (request.prompt().isPresent()
         && !(placement instanceof Placement.Refuse)
         && queue.isAhead(selection.priority())) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -19,6 +18,7 @@
 import org.bulrushpier.daemon.net.InboundRequest;
 import org.bulrushpier.limit.SlowReaders;
 import org.bulrushpier.placing.PlacementQueue;
+import org.bulrushpier.placing.PlacementRound;
 import org.bulrushpier.settings.GatewaySettings;
 import org.bulrushpier.site.CallerLimits;
 import org.bulrushpier.site.Configuration;
@@ -341,12 +341,9 @@
   }
 
   /** Places waiting requests as far as engines can take them, and refuses those that expired. */
-  private void placeWaiting(String service, PlacementQueue<Exchange> queue, long nowMillis) {
-    queue.removeExpired(nowMillis).forEach(Exchange::waitExpired);
-    Optional<Exchange> head = queue.head();
-    while (head.isPresent() && head.get().placeWaiting()) {
-      head = queue.head();
-    }
+  private void placeWaiting(String service, PlacementQueue<QueueWait> queue, long nowMillis) {
+    queue.removeExpired(nowMillis).forEach(waiting -> waiting.expired(nowMillis));
+    PlacementRound.run(queue.waiting());
     if (queue.isStanding(nowMillis) && overloaded.add(service)) {
       context.log().event("overload", "service", service, "waiting", queue.size());
     } else if (!queue.isStanding(nowMillis) && overloaded.remove(service)) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -72,7 +72,7 @@
   private final PaceGuard paces = new PaceGuard(this);
   private final PoisonGuard poison = new PoisonGuard(log, metrics);
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
-  private final Map<String, PlacementQueue<Exchange>> placementQueues = new HashMap<>();
+  private final Map<String, PlacementQueue<QueueWait>> placementQueues = new HashMap<>();
   private final StallDetector stalls = new StallDetector();
   private int liveInstances = 1;
   private int mostInstances = 1;
@@ -246,12 +246,12 @@
   }
 
   /** Returns the requests that wait for an engine of a service. */
-  PlacementQueue<Exchange> placementQueue(String service) {
+  PlacementQueue<QueueWait> placementQueue(String service) {
     return placementQueues.computeIfAbsent(service, name -> new PlacementQueue<>());
   }
 
   /** Returns the queues of all services by the name of the service. */
-  Map<String, PlacementQueue<Exchange>> placementQueues() {
+  Map<String, PlacementQueue<QueueWait>> placementQueues() {
     return placementQueues;
   }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -1,12 +1,16 @@
 package org.bulrushpier.daemon.serve;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.bulrushpier.Moment;
+import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.placing.CacheSalt;
 import org.bulrushpier.placing.CacheStoreState;
@@ -79,6 +83,69 @@
     return Math.clamp(holder.effectivePriority(route), 0, MAX_PRIORITY);
   }
 
+  /** Returns the latency objective of the request, in milliseconds. */
+  long goalMillis() {
+    return route.goalMillis();
+  }
+
+  /** Returns the regions in which the request may run. */
+  Homes homes() {
+    return homes;
+  }
+
+  /**
+   * Returns the refusal of a request that would wait in vain, as operators let no replica take it
+   * or what they ask is not known.
+   *
+   * @param now the current monotonic time, in milliseconds
+   * @return the refusal, or empty if a replica may take the request now or soon
+   */
+  Optional<Placement.Refuse> refusal(long now) {
+    Candidates candidates = candidates(now);
+    countEvacuated(candidates);
+    return refusal(candidates);
+  }
+
+  private Optional<Placement.Refuse> refusal(Candidates candidates) {
+    return context.evacuations().areKnown()
+        ? candidates.refusal()
+        : Optional.of(
+            new Placement.Refuse("the evacuations are not known yet", UNCONFIGURED_RETRY_MILLIS));
+  }
+
+  /** Returns the ids of the replicas that may take the request now or once they have a seat. */
+  Set<String> replicas(Set<String> excluded) {
+    Candidates candidates = candidates(MonotonicClock.millis());
+    return Stream.of(candidates.usable(), candidates.starting(), candidates.cold())
+        .flatMap(List::stream)
+        .map(replica -> replica.entry().id())
+        .filter(id -> !excluded.contains(id))
+        .collect(Collectors.toSet());
+  }
+
+  /**
+   * Selects a replica for a request that others precede.
+   *
+   * @param excluded the ids of replicas that must not be selected
+   * @param reserved the ids of replicas for which the others wait
+   * @param remaining the time until the deadline, in milliseconds
+   * @param now the current monotonic time, in milliseconds
+   */
+  Placement choose(Set<String> excluded, Set<String> reserved, long remaining, long now) {
+    if (reserved.isEmpty()) {
+      return choose(excluded, remaining, now);
+    }
+    Optional<Placement.Refuse> refusal = refusal(now);
+    if (refusal.isPresent()) {
+      return refusal.get();
+    }
+    Set<String> all = new HashSet<>(excluded);
+    all.addAll(reserved);
+    return choose(all, remaining, now) instanceof Placement.Send send
+        ? send
+        : new Placement.Wait("other requests wait for an engine");
+  }
+
   /**
    * Selects a replica.
    *
@@ -152,10 +219,7 @@
       Function<List<Replica>, Placement> placing,
       Set<String> excluded,
       long now) {
-    if (!context.evacuations().areKnown()) {
-      return new Placement.Refuse("the evacuations are not known yet", UNCONFIGURED_RETRY_MILLIS);
-    }
-    Optional<Placement.Refuse> refusal = candidates.refusal();
+    Optional<Placement.Refuse> refusal = refusal(candidates);
     if (refusal.isPresent()) {
       return refusal.get();
     }
@@ -192,15 +256,19 @@
   }
 
   private void count(Candidates candidates) {
-    if (candidates.isAnyEvacuated() && !isCountedAsKept) {
-      isCountedAsKept = true;
-      context.metrics().keptFromEvacuated();
-    }
+    countEvacuated(candidates);
     if (candidates.isAnyLimited()) {
       context.metrics().withheldFromStarted();
     }
   }
 
+  private void countEvacuated(Candidates candidates) {
+    if (candidates.isAnyEvacuated() && context.evacuations().areKnown() && !isCountedAsKept) {
+      isCountedAsKept = true;
+      context.metrics().keptFromEvacuated();
+    }
+  }
+
   /**
    * Returns the first reason for which a replica may not get the request now.
    *
--- a/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementQueue.java
@@ -227,6 +227,11 @@
     settleIfNoneWaits(entry.priority);
   }
 
+  /** Returns the waiting requests in the order in which they are to be placed. */
+  public List<T> waiting() {
+    return entries.stream().map(Entry::request).toList();
+  }
+
   /** Returns the next request to place, or empty if none is waiting. */
   public Optional<T> head() {
     return entries.isEmpty() ? Optional.empty() : Optional.of(entries.first().request);
