--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/ReplicaInquiriesTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/ReplicaInquiriesTest.java
@@ -60,12 +60,13 @@
       new ReplicaInquiries(loop, ConnectionPool.of(loop, 60_000));
   private final Inquiry holder = new Inquiry();
   private ServerSocket server;
+  private Thread accepting;
   private Replica replica;
 
   @BeforeEach
   void start() throws Exception {
     server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-    Thread.ofVirtual().start(this::accept);
+    accepting = Thread.ofVirtual().start(this::accept);
     ReplicaTable table = new ReplicaTable();
     table.put(
         new ReplicaEntry(
@@ -218,6 +219,7 @@
   @Test
   void replicaThatListensNoMoreIsGone() throws Exception {
     server.close();
+    accepting.join();
 
     assertThat(isTakenToBeGone()).isTrue();
   }
