A continuation whose holder is gone before its answer goes on at the next copy

Callers waited until the deadline when the replica to which a run had moved fell silent before its response: only replicas whose response had begun were judged. A continuation is judged from its send on in the same way, with the holder of its own copy as the other replica. One whose holder answers reports but not the request, or that has no copy of its own, still waits until the deadline.

SurvivingStreamIntegrationTest.runGoesOnAgainWhenTheHolderOfItsCopyIsGoneBeforeItsAnswer failed before (incomplete after 5 s) and passes now, with three neighbours, on this code.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -347,7 +347,7 @@
       if (!race.isEmpty() && !context.stalls().isRecovering(nowMillis)) {
         if (route.isRepeatable()) {
           placeBesideSilent(nowMillis);
-        } else if (isStreaming) {
+        } else if (mayHaveRun) {
           leaveGoneReplica(nowMillis);
         }
       }
@@ -357,8 +357,8 @@
   /** Lets the run go on from its copy if its replica is gone without closing the connection. */
   private void leaveGoneReplica(long nowMillis) {
     for (Attempt attempt : race.running()) {
-      if (attempt.inFlight.isStarted()
-          && survival.isGone(attempt.replica, lastProgressMillis, nowMillis)
+      if (attempt.isJudged()
+          && survival.isGone(attempt.replica, attempt.silentSinceMillis(), nowMillis)
           && mayContinue()
           && survival.mayGoOn(nowMillis)
           && !parts.isUncertain()) {
@@ -718,7 +718,16 @@
     }
 
     private long silentMillis(long nowMillis) {
-      return nowMillis - (inFlight.isStarted() ? lastProgressMillis : inFlight.sentMillis());
+      return nowMillis - silentSinceMillis();
+    }
+
+    private long silentSinceMillis() {
+      return inFlight.isStarted() ? lastProgressMillis : inFlight.sentMillis();
+    }
+
+    /** Returns whether the replica is left if it is gone: only once the request is known to run. */
+    private boolean isJudged() {
+      return inFlight.isStarted() || continuation.isPresent();
     }
 
     /** Prefers other replicas for new requests until a replica that answers none answers again. */
--- a/rig/src/test/java/org/bulrushpier/rig/SurvivingStreamIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/SurvivingStreamIntegrationTest.java
@@ -349,6 +349,27 @@
     assertThat(executions("run")).hasSize(2);
   }
 
+  /** Both replicas fall silent for good, the second one before it answers. */
+  @Test
+  void runGoesOnAgainWhenTheHolderOfItsCopyIsGoneBeforeItsAnswer() throws Exception {
+    startEngines(3, true);
+    engines.forEach(engine -> engine.setSilence(new Silence(4, ENDLESS_MILLIS)));
+    Run run = begin("run");
+    ReplicaFake second = holder(run.engine(), run);
+    second.setSilence(new Silence(0, ENDLESS_MILLIS));
+    run.engine().withholdReports();
+    await(() -> executions("run").size() == 2);
+    ReplicaFake third = holder(second, run);
+    third.setSilence(new Silence(0, 0));
+
+    second.withholdReports();
+
+    assertThat(run.response()).succeedsWithin(Duration.ofSeconds(5));
+    assertWhole(run);
+    assertThat(executionAt(third, run).headers()).containsKey("kv-from");
+    assertThat(executions("run")).hasSize(3);
+  }
+
   @Test
   void runIsNotContinuedAfterItsCallerHasLeft() throws Exception {
     startEngines(2, true);
