--- a/daemon/src/main/java/org/bulrushpier/daemon/command/ExplainCommand.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/command/ExplainCommand.java
@@ -157,11 +157,10 @@
   private static void print(Candidate candidate) {
     StringBuilder line =
         new StringBuilder("  %s in %s".formatted(candidate.replica(), candidate.domain()));
-    if (!candidate.exclusion().isEmpty()) {
-      line.append(", out: ").append(candidate.exclusion());
-    }
     if (candidate.exclusion().isEmpty()) {
       line.append(String.format(Locale.ROOT, ", cost %.1f", candidate.cost()));
+    } else {
+      line.append(", out: ").append(candidate.exclusion());
     }
     if (candidate.prediction() != null) {
       line.append(
