Requests that wait behind the scan of a queue look at no replicas

In a crest each tick of the queue asked each waiting request without restriction for its replicas, although the round ends there. The answer is the same without them.

--- a/library/src/main/java/org/bulrushpier/placing/PlacementRound.java
+++ b/library/src/main/java/org/bulrushpier/placing/PlacementRound.java
@@ -78,8 +78,11 @@
     if (isAnyLeft && turn.place(Set.copyOf(reserved))) {
       return true;
     }
+    if (restriction.isNone()) {
+      return false;
+    }
     waiting.add(restriction);
     reserved.addAll(turn.replicas());
-    return !restriction.isNone();
+    return true;
   }
 }
