--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -192,7 +192,7 @@
       long goalMillis,
       long leftMillis,
       long nowMillis) {
-    Terms terms = terms(prompt, salts, service, engines, weights, stores, priority, nowMillis);
+    Terms terms = new Terms(prompt, salts, service, engines, weights, stores, priority, nowMillis);
     sizes.sampleInFlight(engines);
     EngineEstimate best = null;
     for (Replica engine : engines) {
@@ -233,27 +233,13 @@
       Collection<CacheStoreState> stores,
       int priority,
       long nowMillis) {
-    Terms terms = terms(prompt, salts, service, engines, weights, stores, priority, nowMillis);
+    Terms terms = new Terms(prompt, salts, service, engines, weights, stores, priority, nowMillis);
     return engines.stream()
         .map(terms::estimate)
         .sorted(Comparator.comparingDouble(EngineEstimate::cost))
         .toList();
   }
 
-  private Terms terms(
-      PromptShape prompt,
-      IntFunction<String> salts,
-      Service.Engines service,
-      List<Replica> engines,
-      WeightPreference weights,
-      Collection<CacheStoreState> stores,
-      int priority,
-      long nowMillis) {
-    boolean isGrouped = group.isInForce();
-    String home = isGrouped ? "" : home(prompt, engines);
-    return new Terms(prompt, salts, service, weights, stores, priority, isGrouped, home, nowMillis);
-  }
-
   /** What the predictions for all engines have in common for one request. */
   private final class Terms {
     private final PromptShape prompt;
@@ -262,20 +248,19 @@
     private final WeightPreference weights;
     private final Collection<CacheStoreState> stores;
     private final int priority;
+    private final long nowMillis;
     private final boolean isGrouped;
     private final String home;
-    private final long nowMillis;
     private final Map<Integer, PartSources> sources = new HashMap<>();
 
     Terms(
         PromptShape prompt,
         IntFunction<String> salts,
         Service.Engines service,
+        List<Replica> engines,
         WeightPreference weights,
         Collection<CacheStoreState> stores,
         int priority,
-        boolean isGrouped,
-        String home,
         long nowMillis) {
       this.prompt = prompt;
       this.salts = salts;
@@ -283,9 +268,9 @@
       this.weights = weights;
       this.stores = stores;
       this.priority = priority;
-      this.isGrouped = isGrouped;
-      this.home = home;
       this.nowMillis = nowMillis;
+      isGrouped = group.isInForce();
+      home = isGrouped ? "" : home(prompt, engines);
     }
 
     EngineEstimate estimate(Replica engine) {
