--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -224,11 +224,6 @@
     }
   }
 
-  /** Tries to place this request, which waits, at another replica than the reserved ones. */
-  void placeWaiting(Set<String> reserved) {
-    tryPlace(reserved);
-  }
-
   /** Returns the ids of the replicas to which the request was sent or could not be sent. */
   Set<String> triedReplicas() {
     return triedReplicas;
@@ -238,7 +233,8 @@
     tryPlace(Set.of());
   }
 
-  private void tryPlace(Set<String> reserved) {
+  /** Tries to place this request at another replica than the reserved ones. */
+  void tryPlace(Set<String> reserved) {
     long remaining = remainingMillis();
     if (remaining < MIN_REMAINING_MILLIS) {
       giveUp("no time left");
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Explainer.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Explainer.java
@@ -127,7 +127,7 @@
     if (request.prompt().isPresent()
         && !(placement instanceof Placement.Refuse)
         && queue.isAhead(selection.priority())) {
-      placement = new Placement.Wait("other requests wait for an engine");
+      placement = ReplicaSelection.BEHIND_OTHERS;
     }
     String choice;
     String replica = "";
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/QueueWait.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/QueueWait.java
@@ -61,7 +61,7 @@
     return Optional.of(
         isFull
             ? refusal("too many other requests wait for an engine", now)
-            : new Placement.Wait("other requests wait for an engine"));
+            : ReplicaSelection.BEHIND_OTHERS);
   }
 
   private Placement.Refuse refusal(String reason, long now) {
@@ -123,7 +123,7 @@
   @Override
   public boolean place(Set<String> reserved) {
     if (wait != null) {
-      exchange.placeWaiting(reserved);
+      exchange.tryPlace(reserved);
     }
     return wait == null;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -42,6 +42,10 @@
   /** Retry delay for callers while the requested weights are not known, in milliseconds. */
   private static final long UNCONFIGURED_RETRY_MILLIS = 300;
 
+  /** The wait of a request while others that come first wait. */
+  static final Placement.Wait BEHIND_OTHERS =
+      new Placement.Wait("other requests wait for an engine");
+
   private final GatewayContext context;
   private final Optional<PromptShape> prompt;
   private final ConfiguredRoute route;
@@ -141,9 +145,7 @@
     }
     Set<String> all = new HashSet<>(excluded);
     all.addAll(reserved);
-    return choose(all, remaining, now) instanceof Placement.Send send
-        ? send
-        : new Placement.Wait("other requests wait for an engine");
+    return choose(all, remaining, now) instanceof Placement.Send send ? send : BEHIND_OTHERS;
   }
 
   /**
