A stopped instance leaves its datagram address at once

Seen: an instance that was started again in the same process failed with BindException once (EvacuationIntegrationTest.restartedInstance..., in KNOWN-RED.txt). Cause: closing the channel wakes the receiving thread, but the operating system keeps the address until that thread has left the socket; stop() did not wait for it. Another process, as suspected before, is not needed for it. Change: stop() waits for the thread, at most 1 s.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -58,6 +58,9 @@
   /** The number of instances that get the same question. */
   private static final int MAX_ASKED = 3;
 
+  /** How long the receiving thread may take to leave the closed socket, in milliseconds. */
+  private static final long STOP_MILLIS = 1_000;
+
   private final GatewayContext context;
   private final Address self;
   private final EventLoop loop;
@@ -66,6 +69,7 @@
   private final PeerLoads peerLoads;
   private final CrashGossip gossip = new CrashGossip();
   private final DatagramChannel channel;
+  private final Thread receiver = new Thread(this::receiveAll, "fleet");
   private final long startMillis = System.currentTimeMillis();
   private long sequence;
   private long lastLoadMillis = Long.MIN_VALUE / 2;
@@ -103,9 +107,8 @@
     context.poison().turn(exchange::turn);
     context.cold().places(exchange.membership::place);
     context.paces().places(exchange.membership::place);
-    Thread receiver = new Thread(exchange::receiveAll, "fleet");
-    receiver.setDaemon(true);
-    receiver.start();
+    exchange.receiver.setDaemon(true);
+    exchange.receiver.start();
     return exchange;
   }
 
@@ -114,12 +117,18 @@
     membership.seeds(seeds);
   }
 
-  /** Closes the socket, which also ends the receiving thread. */
+  /**
+   * Closes the socket, which also ends the receiving thread. The address is in use until that
+   * thread has left the socket. Must not be called with the loop's lock held.
+   */
   void stop() {
     try {
       channel.close();
+      receiver.join(STOP_MILLIS);
     } catch (IOException e) {
       log.event("datagram-socket-not-closed", "detail", e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
