Instances tell each other the copies of runs that they have ordered

Copies were placed only up to two fifths of a replica's memory, as the copies of other instances were not known, and not at all if as many drawn replicas were full as had room. Once replicas were half full by runs, most runs had no copy when their engine crashed.

Load reports carry the copies at each replica, as the last element, which older instances skip. A holder with an overdue response is the last choice instead of none. Runs without a copy are counted by the reason.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/FleetExchange.java
@@ -274,12 +274,18 @@
 
   private List<UpstreamLoad> ownLoads() {
     List<UpstreamLoad> upstreams = new ArrayList<>();
+    List<UpstreamLoad> onlyCopies = new ArrayList<>();
     for (Replica replica : context.replicas().all()) {
-      if (replica.ownRequests() > 0 && upstreams.size() < MAX_UPSTREAMS) {
+      if (replica.ownRequests() > 0) {
         upstreams.add(replica.ownLoad());
+      } else if (replica.hasCopies()) {
+        onlyCopies.add(replica.ownLoad());
       }
     }
-    return upstreams;
+    upstreams.addAll(onlyCopies);
+    return upstreams.size() > MAX_UPSTREAMS
+        ? List.copyOf(upstreams.subList(0, MAX_UPSTREAMS))
+        : upstreams;
   }
 
   private void sendLoads(
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -89,7 +89,7 @@
     controlPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     client = new ControlClient(loop, controlPool);
     inquiries = new ReplicaInquiries(loop, controlPool);
-    copyPlacement = CopyPlacement.of(peerLoads, ThreadLocalRandom.current());
+    copyPlacement = CopyPlacement.of(peerLoads, loadGroup, ThreadLocalRandom.current());
   }
 
   EventLoop loop() {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.bulrushpier.limit.SlowReaders;
+import org.bulrushpier.survival.CopyPlacement;
 
 /**
  * Counters and latency histograms of a gateway. Thread-safe.
@@ -92,6 +93,12 @@
       counter("bulrushpier.copies.ordered", "Copies of runs ordered at other replicas");
   private final Counter copiedTokens =
       counter("bulrushpier.copies.tokens", "Tokens of the runs whose copies were ordered");
+  private final Counter doubtfulCopies =
+      counter(
+          "bulrushpier.copies.doubtful",
+          "Copies of runs ordered at replicas with an overdue response, as no other had room");
+  private final Map<CopyPlacement.Reason, Counter> runsWithoutCopy =
+      new EnumMap<>(CopyPlacement.Reason.class);
   private final Map<String, Counter> continuations = new HashMap<>();
 
   private final Timer outdatedWeights =
@@ -222,9 +229,25 @@
     evacuationsApplied.increment();
   }
 
-  void copyOrdered(int tokens) {
+  void copyOrdered(int tokens, boolean isDoubtful) {
     copies.increment();
     copiedTokens.increment(tokens);
+    if (isDoubtful) {
+      doubtfulCopies.increment();
+    }
+  }
+
+  /** Counts a run that gets no copy although its route and its service have copies. */
+  void withoutCopy(CopyPlacement.Reason reason) {
+    runsWithoutCopy
+        .computeIfAbsent(
+            reason,
+            name ->
+                Counter.builder("bulrushpier.copies.omitted")
+                    .description("Runs without a copy, by the reason")
+                    .tag("reason", name.name().toLowerCase(Locale.ROOT))
+                    .register(registry))
+        .increment();
   }
 
   /**
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -322,13 +322,20 @@
    * @param run the replica that executes the run
    * @param excluded the ids of replicas that must not be selected
    * @param now the current monotonic time, in milliseconds
-   * @return the replica, or empty if the run gets no copy
+   * @return the replica or why there is none, or empty if there are no copies on the route or the
+   *     service
    */
-  Optional<Replica> chooseCopyHolder(Replica run, Set<String> excluded, long now) {
-    return prompt.isPresent()
-            && target().orElse(null) instanceof Service.Engines engines
-            && CopyPlacement.isWanted(route, engines, prompt.get())
-        ? context
+  Optional<CopyPlacement.Choice> chooseCopyHolder(Replica run, Set<String> excluded, long now) {
+    if (prompt.isEmpty()
+        || !(target().orElse(null) instanceof Service.Engines engines)
+        || !CopyPlacement.isOffered(route, engines)) {
+      return Optional.empty();
+    }
+    if (!CopyPlacement.isWanted(route, engines, prompt.get())) {
+      return Optional.of(new CopyPlacement.Choice.None(CopyPlacement.Reason.LONG_PROMPT));
+    }
+    return Optional.of(
+        context
             .copyPlacement()
             .choose(
                 prompt.get(),
@@ -336,8 +343,7 @@
                 run,
                 context.replicas().replicasOf(service),
                 replica -> !excluded.contains(replica.entry().id()) && mayReceive(replica, now),
-                now)
-        : Optional.empty();
+                now));
   }
 
   /** Returns whether a replica may get the request now. */
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Survival.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Survival.java
@@ -9,6 +9,8 @@
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.site.ConfiguredRoute;
+import org.bulrushpier.survival.CopyPlacement;
+import org.bulrushpier.survival.CopyPlacement.Choice;
 import org.bulrushpier.survival.RunCopy;
 import org.bulrushpier.survival.RunCopy.Continuation;
 import org.bulrushpier.survival.SilenceWatch;
@@ -51,16 +53,26 @@
   String order(Replica run, int weightVersion) {
     release();
     // Without an id, the copy could not be named.
-    Optional<Replica> holder =
+    Optional<Choice> choice =
         request.id().isEmpty()
             ? Optional.empty()
             : selection.chooseCopyHolder(run, triedReplicas, MonotonicClock.millis());
-    if (holder.isEmpty()) {
+    if (choice.isEmpty()) {
       return "";
     }
-    copy.get().ordered(holder.get(), weightVersion);
-    context.metrics().copyOrdered(request.prompt().map(PromptShape::totalTokens).orElse(0));
-    return holder.get().entry().address().toString();
+    return switch (choice.get()) {
+      case Choice.Holder(Replica holder, boolean isDoubtful) -> {
+        copy.get().ordered(holder, weightVersion);
+        context
+            .metrics()
+            .copyOrdered(request.prompt().map(PromptShape::totalTokens).orElse(0), isDoubtful);
+        yield holder.entry().address().toString();
+      }
+      case Choice.None(CopyPlacement.Reason reason) -> {
+        context.metrics().withoutCopy(reason);
+        yield "";
+      }
+    };
   }
 
   /** Returns the id of the holder of the copy, or empty without a copy. */
--- a/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
+++ b/library/src/main/java/org/bulrushpier/fleet/FleetMessage.java
@@ -23,11 +23,12 @@
 public sealed interface FleetMessage {
 
   /**
-   * The requests that the sender has in flight, which replace those of its earlier messages.
+   * The requests that the sender has in flight and the copies of runs that it has ordered, which
+   * replace those of its earlier messages.
    *
    * @param startMillis the wall-clock time at which the sender started, in Unix milliseconds
    * @param sequence the number of the message since the start of the sender
-   * @param upstreams the load on each upstream with requests in flight
+   * @param upstreams the load on each upstream with requests in flight or copies
    * @param domain the name of the sender's failure domain, or empty if an older sender does not
    *     tell it
    */
--- a/library/src/main/java/org/bulrushpier/fleet/UpstreamLoad.java
+++ b/library/src/main/java/org/bulrushpier/fleet/UpstreamLoad.java
@@ -4,7 +4,8 @@
 import java.util.List;
 
 /**
- * The requests that one instance has in flight at one upstream.
+ * The requests that one instance has in flight at one upstream, and the copies of runs that it has
+ * ordered there.
  *
  * <p>Immutable and thread-safe.
  *
@@ -13,10 +14,12 @@
  * @param memoryTokens the tokens that they occupy when they end
  * @param pendingTokens the prompt tokens that await prefill, by priority; the first element belongs
  *     to the most urgent priority, and missing ones are 0
+ * @param copyTokens the tokens that the copies occupy when their runs end; 0 if an older sender
+ *     does not tell them
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record UpstreamLoad(
-    String upstream, int requests, long memoryTokens, List<Long> pendingTokens) {
+    String upstream, int requests, long memoryTokens, List<Long> pendingTokens, long copyTokens) {
 
   /** The largest number that is accepted from another instance, which bounds sums. */
   private static final long MAX_VALUE = 1_000_000_000;
@@ -31,6 +34,7 @@
     return upstream != null
         && isPlausible(requests)
         && isPlausible(memoryTokens)
+        && isPlausible(copyTokens)
         && pendingTokens.stream().allMatch(UpstreamLoad::isPlausible);
   }
 
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -491,6 +491,11 @@
     copies.remove(request);
   }
 
+  /** Returns whether this instance has ordered copies here. */
+  public boolean hasCopies() {
+    return !copies.isEmpty();
+  }
+
   /** Returns the number of tokens that the copies ordered by this instance occupy. */
   public long copyTokens() {
     long tokens = 0;
@@ -512,7 +517,8 @@
             request.priority, pendingTokens.get(request.priority) + request.uncachedTokens);
       }
     }
-    return new UpstreamLoad(entry.id(), inFlight.size(), reservedTokens(), pendingTokens);
+    return new UpstreamLoad(
+        entry.id(), inFlight.size(), reservedTokens(), pendingTokens, copyTokens());
   }
 
   /** Returns the number of tokens that this instance's requests occupy when they end. */
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -247,7 +247,7 @@
             .map(
                 engine ->
                     new UpstreamLoad(
-                        engine.entry().id(), requests, memoryTokens, List.of(0L, pendingTokens)))
+                        engine.entry().id(), requests, memoryTokens, List.of(0L, pendingTokens), 0))
             .toList();
     peers.record("10.0.0.9:1", new FleetMessage.Load(1, 1, loads, "norte"), NOW);
   }
@@ -284,7 +284,7 @@
   void longSessionGoesHomeInSpiteOfShortWaitThere() {
     PromptShape prompt = prompt("s", 8_000);
     String home = chosen(prompt, ANY_VERSION);
-    UpstreamLoad pending = new UpstreamLoad(home, 1, 4_000, List.of(4_000L));
+    UpstreamLoad pending = new UpstreamLoad(home, 1, 4_000, List.of(4_000L), 0);
     peers.record("10.0.0.9:1", new FleetMessage.Load(1, 1, List.of(pending), "norte"), NOW);
 
     assertThat(chosen(prompt, ANY_VERSION)).isEqualTo(home);
