Simulated instances leave out engines that left, and cross domains

FleetSimulation placed calls on all engines, whether usable or not, so that instancesWhoseEnginesAllLeftUseThoseOfOtherGroups passed without any engine having left. Candidates are the usable engines now, as in ReplicaSelection; the test passes with them too. The simulation also knows the time of the way between domains, plays calls to some of the instances, and tells how many calls crossed. Ports of test engines repeat, as plays of many instances used more than there are.

--- a/library/src/test/java/org/bulrushpier/placing/Engines.java
+++ b/library/src/test/java/org/bulrushpier/placing/Engines.java
@@ -24,7 +24,10 @@
           List.of("m"),
           Service.ColdStart.NONE);
 
-  private static int lastPort = 9_000;
+  private static final int FIRST_PORT = 9_000;
+  private static final int PORTS = 50_000;
+
+  private static int created;
 
   private Engines() {}
 
@@ -38,7 +41,7 @@
         new ReplicaEntry(
             id,
             "engines",
-            new Address("10.0.0.1", ++lastPort),
+            new Address("10.0.0.1", nextPort()),
             domain,
             slots,
             false,
@@ -48,9 +51,13 @@
     return table.find(id);
   }
 
+  private static int nextPort() {
+    return FIRST_PORT + created++ % PORTS;
+  }
+
   static CacheStoreState store(String name, String domain, long tokens) {
     return new CacheStoreState(
         new Service.CacheStore(
-            name, new Address("10.0.0.2", ++lastPort), domain, tokens, 260_000, 6, true));
+            name, new Address("10.0.0.2", nextPort()), domain, tokens, 260_000, 6, true));
   }
 }
--- a/library/src/test/java/org/bulrushpier/placing/FleetSimulation.java
+++ b/library/src/test/java/org/bulrushpier/placing/FleetSimulation.java
@@ -46,6 +46,7 @@
    * @param service the engines' service
    * @param tokensPerMilli the prompt tokens that an engine reads in a millisecond
    * @param exchangeMillis the interval of general load reports, in milliseconds
+   * @param crossingMillis the time that data takes from one domain to another, in milliseconds
    */
   record Site(
       Service.Engines service,
@@ -53,7 +54,19 @@
       int instances,
       int engines,
       double tokensPerMilli,
-      long exchangeMillis) {}
+      long exchangeMillis,
+      double crossingMillis) {
+
+    Site(
+        Service.Engines service,
+        int domains,
+        int instances,
+        int engines,
+        double tokensPerMilli,
+        long exchangeMillis) {
+      this(service, domains, instances, engines, tokensPerMilli, exchangeMillis, 0);
+    }
+  }
 
   FleetSimulation(Site site) {
     this.site = site;
@@ -81,6 +94,7 @@
     private final long goal;
     private final long arrivedMillis = now;
     private long firstTokenMillis = -1;
+    private boolean hasCrossed;
     private Instance receiver;
 
     Call(int priority, PromptShape prompt, long goal) {
@@ -97,8 +111,16 @@
       return receiver;
     }
 
+    boolean hasCrossed() {
+      return hasCrossed;
+    }
+
+    long waitMillis() {
+      return firstTokenMillis - arrivedMillis;
+    }
+
     boolean isInTime() {
-      return firstTokenMillis >= 0 && firstTokenMillis - arrivedMillis <= goal;
+      return firstTokenMillis >= 0 && waitMillis() <= goal;
     }
   }
 
@@ -148,7 +170,7 @@
               call.prompt,
               version -> "s",
               site.service,
-              replicas,
+              replicas.stream().filter(replica -> replica.isUsable(now)).toList(),
               WeightPreference.of(
                   new TargetWeights.TargetVersion(1, RequestInterval.at(new Moment(0, 0))),
                   new Moment(0, 0),
@@ -169,6 +191,8 @@
       Replica replica = send.replica();
       int at = replicas.indexOf(replica);
       EngineSimulation engine = engines.get(at);
+      call.hasCrossed = !replica.entry().domain().equals(domain(index));
+      long wayMillis = call.hasCrossed ? Math.round(2 * site.crossingMillis) : 0;
       String id = "r" + nextId++;
       long sentMillis = now;
       Replica.InFlightRequest request =
@@ -186,7 +210,7 @@
               call.prompt.parts(),
               call.prompt.maxOutputTokens(),
               () -> {
-                call.firstTokenMillis = now;
+                call.firstTokenMillis = now + wayMillis;
                 request.markStarted();
                 replica.recordActivity(now);
                 replica.recordLoad(
@@ -194,7 +218,9 @@
                         engine.runningRequests(), engine.waitingRequests(), site.service.slots()),
                     now);
                 if (send.isAlone()) {
-                  rate.sample(send.cache().prefillTokens(), Math.max(1, now - sentMillis));
+                  rate.sample(
+                      send.cache().prefillTokens(),
+                      Math.max(1, call.firstTokenMillis - sentMillis));
                 }
               },
               () -> replica.end(id)));
@@ -252,11 +278,17 @@
 
   /** Plays arrivals at instances chosen at random. */
   void play(long untilMillis, double callsPerSecond, Supplier<Call> nextCall) {
+    play(untilMillis, callsPerSecond, nextCall, instances);
+  }
+
+  /** Plays arrivals at some of the instances, chosen at random. */
+  void play(
+      long untilMillis, double callsPerSecond, Supplier<Call> nextCall, List<Instance> receivers) {
     double credit = 0;
     while (now < untilMillis) {
       credit += callsPerSecond * TICK_MILLIS / 1_000;
       for (; credit >= 1; credit--) {
-        instances.get(random.nextInt(site.instances)).arrive(nextCall.get());
+        receivers.get(random.nextInt(receivers.size())).arrive(nextCall.get());
       }
       for (Instance instance : instances) {
         long phase = now + instance.index * PHASE_MILLIS;
@@ -272,13 +304,37 @@
     }
   }
 
+  /** Returns the instances of a failure domain. */
+  List<Instance> instancesIn(int domain) {
+    return instances.stream().filter(i -> i.index % site.domains == domain).toList();
+  }
+
   /** Returns the share of the calls that got their first token in time. */
   double shareInTime(long fromMillis, long untilMillis, Predicate<Call> selected) {
-    List<Call> arrived =
-        calls.stream()
-            .filter(selected)
-            .filter(call -> call.arrivedMillis >= fromMillis && call.arrivedMillis < untilMillis)
-            .toList();
+    List<Call> arrived = arrived(fromMillis, untilMillis, selected);
     return arrived.stream().filter(Call::isInTime).count() / (double) arrived.size();
   }
+
+  /** Returns the share of the calls that were sent to engines in other domains. */
+  double shareCrossed(long fromMillis, long untilMillis) {
+    List<Call> arrived = arrived(fromMillis, untilMillis, call -> call.firstTokenMillis >= 0);
+    return arrived.stream().filter(Call::hasCrossed).count() / (double) arrived.size();
+  }
+
+  /** Returns the time to the first token that a share of the calls does not exceed, in ms. */
+  long firstTokenMillis(double share, long fromMillis, long untilMillis, Predicate<Call> selected) {
+    List<Long> times =
+        arrived(fromMillis, untilMillis, selected).stream()
+            .map(call -> call.firstTokenMillis < 0 ? Long.MAX_VALUE : call.waitMillis())
+            .sorted()
+            .toList();
+    return times.get((int) (share * (times.size() - 1)));
+  }
+
+  private List<Call> arrived(long fromMillis, long untilMillis, Predicate<Call> selected) {
+    return calls.stream()
+        .filter(selected)
+        .filter(call -> call.arrivedMillis >= fromMillis && call.arrivedMillis < untilMillis)
+        .toList();
+  }
 }
