Less urgent prompts that an engine reads count for an urgent one

An engine that read long prompts of less urgent requests seemed as good as an idle one to an urgent request, which then waited for the piece that was being read. Half of the less urgent tokens are counted now, at most 1,024. EnginePlacementTest.urgentRequestPrefersEngineThatReadsNoLessUrgentPrompt fails without the change.

--- a/library/src/main/java/org/bulrushpier/fleet/PeerLoads.java
+++ b/library/src/main/java/org/bulrushpier/fleet/PeerLoads.java
@@ -25,12 +25,18 @@
    * @param requests the number of requests in flight
    * @param memoryTokens the tokens that they occupy when they end
    * @param pendingTokens the prompt tokens that are prefilled before those of a new request
+   * @param lessUrgentTokens the prompt tokens that are prefilled after those of a new request
    * @param copyTokens the tokens that the copies of runs occupy when the runs end
    */
-  public record Total(int requests, long memoryTokens, long pendingTokens, long copyTokens) {
+  public record Total(
+      int requests,
+      long memoryTokens,
+      long pendingTokens,
+      long lessUrgentTokens,
+      long copyTokens) {
 
     /** No load. */
-    public static final Total NONE = new Total(0, 0, 0, 0);
+    public static final Total NONE = new Total(0, 0, 0, 0, 0);
   }
 
   private record Report(FleetMessage.Load load, long receivedMillis) {}
@@ -112,14 +118,17 @@
     int requests = 0;
     long memoryTokens = 0;
     long pendingTokens = 0;
+    long allTokens = 0;
     long copyTokens = 0;
     for (UpstreamLoad load : senders.values()) {
       requests += load.requests();
       memoryTokens += load.memoryTokens();
       pendingTokens += load.pendingTokens(priority);
+      allTokens += load.pendingTokens(Integer.MAX_VALUE);
       copyTokens += load.copyTokens();
     }
-    return new Total(requests, memoryTokens, pendingTokens, copyTokens);
+    return new Total(
+        requests, memoryTokens, pendingTokens, allTokens - pendingTokens, copyTokens);
   }
 
   /** Returns the number of instances whose report is in use. */
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -96,6 +96,12 @@
    */
   private static final double DELAY_PER_REQUEST_MILLIS = 0.6;
 
+  /** The share of less urgent prompts that an engine is expected to read before a new one. */
+  private static final double LESS_URGENT_SHARE = 0.5;
+
+  /** The most tokens of less urgent prompts that it reads before a new one: half a piece. */
+  private static final double MAX_LESS_URGENT_TOKENS = 1_024;
+
   /**
    * The wait that is accepted for a request whose own prefill already takes most of its latency
    * objective, as a share of the objective. Without it, only long prompts would be held back.
@@ -373,7 +379,8 @@
 
   /**
    * Predicts how long a request waits at an engine before its own prefill begins, in milliseconds.
-   * Less urgent requests are not counted, as the engine serves them later.
+   * Less urgent requests are counted with the piece of a prompt that the engine may be reading, as
+   * it serves the rest of them later.
    */
   private double predictWait(
       PromptShape prompt,
@@ -388,7 +395,10 @@
     double pendingTokens =
         engine.pendingPrefillTokens(priority)
             + known.pendingTokens()
-            + unknownWaiting * sizes.prefillTokens();
+            + unknownWaiting * sizes.prefillTokens()
+            + Math.min(
+                MAX_LESS_URGENT_TOKENS,
+                LESS_URGENT_SHARE * lessUrgentTokens(engine, known, priority));
     int requests = engine.ownRequests() + known.requests() + unknown;
     double work = rate.millis(pendingTokens) + requests * DELAY_PER_REQUEST_MILLIS;
     double millis = duration * work + engine.transferMillis();
@@ -407,6 +417,13 @@
     return millis;
   }
 
+  /** Returns the prompt tokens that an engine has been sent with less urgent requests. */
+  private static long lessUrgentTokens(Replica engine, PeerLoads.Total known, int priority) {
+    return engine.pendingPrefillTokens()
+        - engine.pendingPrefillTokens(priority)
+        + known.lessUrgentTokens();
+  }
+
   /** Estimates the requests at an engine that belong to instances whose load is not known. */
   private static int unknownRequests(Replica engine, PeerLoads.Total known, long nowMillis) {
     int others = engine.otherRequests(nowMillis, LOAD_VALIDITY_MILLIS);
--- a/library/src/test/java/org/bulrushpier/fleet/PeerLoadsTest.java
+++ b/library/src/test/java/org/bulrushpier/fleet/PeerLoadsTest.java
@@ -26,7 +26,7 @@
     loads.record(A, load(1, 1, 2), 0);
     loads.record(B, load(1, 1, 3), 0);
 
-    assertThat(loads.at("e", 9)).isEqualTo(new PeerLoads.Total(5, 500, 80, 35));
+    assertThat(loads.at("e", 9)).isEqualTo(new PeerLoads.Total(5, 500, 80, 0, 35));
     assertThat(loads.at("other", 9)).isEqualTo(PeerLoads.Total.NONE);
   }
 
@@ -35,7 +35,9 @@
     loads.record(A, load(1, 1, 1), 0);
 
     assertThat(loads.at("e", 1).pendingTokens()).isEqualTo(10);
+    assertThat(loads.at("e", 1).lessUrgentTokens()).isEqualTo(30);
     assertThat(loads.at("e", 2).pendingTokens()).isEqualTo(40);
+    assertThat(loads.at("e", 2).lessUrgentTokens()).isZero();
   }
 
   @Test
@@ -97,7 +99,7 @@
     loads.record(A, new FleetMessage.Load(1, 1, List.of(onlyCopies), "norte"), 0);
 
     loads.expire(PeerLoads.VALIDITY_MILLIS);
-    assertThat(loads.at("holder", 9)).isEqualTo(new PeerLoads.Total(0, 0, 0, 4_000));
+    assertThat(loads.at("holder", 9)).isEqualTo(new PeerLoads.Total(0, 0, 0, 0, 4_000));
     loads.expire(PeerLoads.VALIDITY_MILLIS + 1);
     assertThat(loads.at("holder", 9)).isEqualTo(PeerLoads.Total.NONE);
   }
--- a/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/EnginePlacementTest.java
@@ -272,6 +272,18 @@
         .isInstanceOf(Placement.Send.class);
   }
 
+  /** An engine finishes the piece of a prompt that it reads before it turns to another one. */
+  @Test
+  void urgentRequestPrefersEngineThatReadsNoLessUrgentPrompt() {
+    for (Replica engine : engines.subList(0, 5)) {
+      engine.begin("long", new Replica.InFlightRequest(1, 8_000, 8_020, 0, NOW, NOW + 10_000));
+    }
+
+    for (int i = 0; i < 20; i++) {
+      assertThat(chosen(prompt("s" + i, 800), ANY_VERSION)).isEqualTo("e5");
+    }
+  }
+
   /** The longest prompts take most of their objective by themselves, and are not held back. */
   @Test
   void longPromptIsSentToIdleEngine() {
