Callers that move to one domain use idle engines of the others

At a large site an engine outside the group cost 100 ms, whatever was known of it. When all callers moved to one failure domain, its instances kept to their groups until urgent requests waited that long, while two thirds of all engines were idle. The cost is now the mean wait of the domain's engines outside the group by the last reports, at most 100 ms, and 100 ms while reports of more than a fifth of the instances are missing.

Plain services and sites below 50 instances answer the load already; tests show it, also with half of the domain's replicas lost.

--- a/library/src/main/java/org/bulrushpier/fleet/LoadGroup.java
+++ b/library/src/main/java/org/bulrushpier/fleet/LoadGroup.java
@@ -47,7 +47,7 @@
 
   private final Set<Address> members = new HashSet<>();
   private final Set<String> replicas = new HashSet<>();
-  private boolean isLargeSite;
+  private int instances;
 
   /**
    * Derives the group from what is known of the site.
@@ -63,12 +63,12 @@
       int instances,
       Collection<Address> inDomain,
       Map<String, List<String>> engines) {
-    isLargeSite = instances >= MIN_INSTANCES;
+    this.instances = instances;
     final Set<Address> before = Set.copyOf(members);
     members.clear();
     replicas.clear();
     int groups = Math.round(inDomain.size() / (float) SIZE);
-    if (isLargeSite && groups > 1) {
+    if (isLargeSite() && groups > 1) {
       List<String> names = new ArrayList<>(inDomain.stream().map(Address::toString).toList());
       names.sort(null);
       int own = groupOf(names.indexOf(self.toString()), names.size(), groups);
@@ -109,7 +109,12 @@
 
   /** Returns whether the site is so large that general reports are older than requests last. */
   public boolean isLargeSite() {
-    return isLargeSite;
+    return instances >= MIN_INSTANCES;
+  }
+
+  /** Returns the number of live instances of the site, or 0 if it is not known yet. */
+  public int instances() {
+    return instances;
   }
 
   /** Returns whether this instance is in a group and shares some engines with it. */
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.IntFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.fleet.LoadGroup;
 import org.bulrushpier.fleet.PeerLoads;
@@ -29,6 +30,8 @@
  * <p>At a site with so many instances that load reports are older than requests last, instances
  * prefer the engines of their {@link LoadGroup}, whose load they know. Among the others they select
  * at random with a preference for those that looked idle, as all of them have the same old reports.
+ * How far they prefer their group depends on how busy the others were on the whole, which old
+ * reports tell well: callers may all be in one domain while the engines of the others are idle.
  *
  * <p>Not thread-safe; guarded by the lock of the gateway's event loop.
  */
@@ -82,10 +85,13 @@
   private static final double UNREACHABLE_COST_MILLIS = 2_000;
 
   /**
-   * The cost of an engine outside the group of this instance, in milliseconds, for what other
-   * instances may have sent there since their last reports.
+   * The highest cost of an engine outside the group of this instance, in milliseconds, for what
+   * other instances may have sent there since their last reports.
    */
-  private static final double OUTSIDE_GROUP_COST_MILLIS = 100;
+  private static final double MAX_OUTSIDE_GROUP_COST_MILLIS = 100;
+
+  /** The share of the other instances whose reports tell how busy a domain's engines are. */
+  private static final double REPORTING_SHARE = 0.8;
 
   /** The mean of the random cost of an engine outside the group, in milliseconds. */
   private static final double OUTSIDE_GROUP_SPREAD_MILLIS = 100;
@@ -257,6 +263,8 @@
     private final long nowMillis;
     private final boolean isGrouped;
     private final String home;
+    private final Map<String, Double> waits = new HashMap<>();
+    private final Map<String, Double> outsideCosts;
     private final Map<Integer, PartSources> sources = new HashMap<>();
 
     Terms(
@@ -277,6 +285,37 @@
       this.nowMillis = nowMillis;
       isGrouped = group.isInForce();
       home = isGrouped ? "" : home(prompt, engines);
+      if (isGrouped) {
+        engines.forEach(engine -> waits.put(engine.entry().id(), predictWait(engine)));
+      }
+      outsideCosts = isGrouped && isSiteKnown() ? outsideCosts(engines) : Map.of();
+    }
+
+    /**
+     * Returns the costs of the engines outside the group, by domain: the mean of their waits in the
+     * last reports, which is what a request finds at an engine whose load is not known.
+     */
+    private Map<String, Double> outsideCosts(List<Replica> engines) {
+      return engines.stream()
+          .filter(engine -> !group.hasEngine(engine.entry().id()))
+          .collect(
+              Collectors.groupingBy(
+                  engine -> engine.entry().domain(),
+                  Collectors.averagingDouble(engine -> waits.get(engine.entry().id()))));
+    }
+
+    private double outsideGroupCost(Replica engine) {
+      double unknown =
+          Math.min(
+              outsideCosts.getOrDefault(engine.entry().domain(), MAX_OUTSIDE_GROUP_COST_MILLIS),
+              MAX_OUTSIDE_GROUP_COST_MILLIS);
+      return unknown + OUTSIDE_GROUP_SPREAD_MILLIS * random.nextExponential();
+    }
+
+    private double predictWait(Replica engine) {
+      double duration = engine.workDurationFactor(nowMillis);
+      return EnginePlacement.this.predictWait(
+          prompt, service, engine, priority, duration, nowMillis);
     }
 
     EngineEstimate estimate(Replica engine) {
@@ -287,7 +326,7 @@
               version, v -> PartSources.of(prompt.parts(), salt, stores, nowMillis));
       CachePlan plan = CachePlanner.plan(prompt, salt, service, engine, versionSources);
       double duration = engine.workDurationFactor(nowMillis);
-      double wait = predictWait(prompt, service, engine, priority, duration, nowMillis);
+      double wait = isGrouped ? waits.get(engine.entry().id()) : predictWait(engine);
       double own = ownMillis(plan, duration);
       double fault = faultCost(engine, nowMillis);
       double millis = own + wait + fault;
@@ -295,7 +334,7 @@
           millis
               + (engine.isUnreachable(nowMillis) ? UNREACHABLE_COST_MILLIS : 0)
               + cacheCost(engine, plan, home)
-              + (isGrouped && !group.hasEngine(engine.entry().id()) ? outsideGroupCost() : 0)
+              + (isGrouped && !group.hasEngine(engine.entry().id()) ? outsideGroupCost(engine) : 0)
               + weights.penaltyMillis(version);
       return new EngineEstimate(
           engine, plan, version, weights.allows(version, millis), wait, own, fault, cost);
@@ -335,8 +374,9 @@
         isAlone(best.engine()));
   }
 
-  private double outsideGroupCost() {
-    return OUTSIDE_GROUP_COST_MILLIS + OUTSIDE_GROUP_SPREAD_MILLIS * random.nextExponential();
+  /** Returns whether nearly all other instances have reported their load of late. */
+  private boolean isSiteKnown() {
+    return peers.size() >= REPORTING_SHARE * (group.instances() - 1);
   }
 
   /** Returns whether no other request is known to wait at an engine whose load is well known. */
--- a/library/src/test/java/org/bulrushpier/placing/PlainManyInstancesTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/PlainManyInstancesTest.java
@@ -28,22 +28,24 @@
 
   private static final int DOMAINS = 3;
   private static final int INSTANCES = 84;
+  private static final int FEW_INSTANCES = 26;
   private static final int REPLICAS = 4;
   private static final int SLOTS = 6;
   private static final int QUEUE = 24;
   private static final double MEAN_WORK_MILLIS = 68;
   private static final double CAPACITY_PER_MILLI = REPLICAS * SLOTS / MEAN_WORK_MILLIS;
-  private static final long EXCHANGE_MILLIS = 1_000;
   private static final long PHASE_MILLIS = 10;
   private static final long GOAL_MILLIS = 300;
 
   private final Random random = new Random(11);
   private final List<Server> servers = new ArrayList<>();
   private final List<Instance> instances = new ArrayList<>();
+  private long exchangeMillis = 1_000;
   private long now;
   private int calls;
   private int inTime;
   private int shed;
+  private int crossed;
 
   PlainManyInstancesTest() {
     for (int i = 0; i < REPLICAS; i++) {
@@ -137,6 +139,9 @@
       Replica replica = ((Placement.Send) placement.choose(usable, Set.of(), now)).replica();
       Server server = servers.get(replicas.indexOf(replica));
       if (server.accept(new Call(this, replica, id, now))) {
+        if (!replica.entry().domain().equals("d" + index % DOMAINS)) {
+          crossed++;
+        }
         replica.begin(id, new Replica.InFlightRequest(0, 0, 0, 0, now, now + 2 * GOAL_MILLIS));
       } else if (server.isDead) {
         replica.breaker().failed(now);
@@ -162,19 +167,23 @@
   }
 
   private void play(double shareOfCapacity, long untilMillis) {
+    play(shareOfCapacity, untilMillis, instances);
+  }
+
+  private void play(double shareOfCapacity, long untilMillis, List<Instance> receivers) {
     double callsPerMilli = shareOfCapacity * CAPACITY_PER_MILLI;
     double next = now;
     while (now < untilMillis) {
       now++;
       servers.forEach(Server::advance);
       for (; next <= now; next += random.nextExponential() / callsPerMilli) {
-        instances.get(random.nextInt(INSTANCES)).arrive("c" + calls);
+        receivers.get(random.nextInt(receivers.size())).arrive("c" + calls);
       }
       for (Instance instance : instances) {
-        if ((now + instance.index * PHASE_MILLIS) % EXCHANGE_MILLIS == 0) {
+        if ((now + instance.index * PHASE_MILLIS) % exchangeMillis == 0) {
           instance.report();
         }
-        if (now % EXCHANGE_MILLIS == 0) {
+        if (now % exchangeMillis == 0) {
           instance.peers.expire(now);
         }
       }
@@ -188,6 +197,16 @@
                 instance.address, INSTANCES, List.of(instance.address), Map.of()));
   }
 
+  /** Keeps so few instances that each knows the load of the others as of a moment ago. */
+  private void keepFewInstances() {
+    instances.removeIf(instance -> instance.index >= FEW_INSTANCES);
+    exchangeMillis = new LoadGroup().generalIntervalMillis(FEW_INSTANCES - 1);
+  }
+
+  private List<Instance> instancesInFirstDomain() {
+    return instances.stream().filter(instance -> instance.index % DOMAINS == 0).toList();
+  }
+
   @Test
   void callsAreSpreadOverAllReplicas() {
     groupInstances();
@@ -217,4 +236,49 @@
     assertThat(inTime).isGreaterThan((int) (0.95 * calls));
     assertThat(shed).isLessThan(calls / 100);
   }
+
+  /** The domain into which the callers move has two of the replicas. */
+  @Test
+  void callersThatMovedUseAllReplicas() {
+    groupInstances();
+    play(0.75, 8_000);
+    play(0.75, 20_000, instancesInFirstDomain());
+
+    assertThat(inTime).isGreaterThan((int) (0.95 * calls));
+    assertThat(shed).isLessThan(calls / 100);
+  }
+
+  @Test
+  void callersThatMovedUseAllReplicasThatAreLeft() {
+    groupInstances();
+    play(0.65, 8_000);
+    servers.get(0).die();
+    play(0.65, 20_000, instancesInFirstDomain());
+
+    assertThat(inTime).isGreaterThan((int) (0.95 * calls));
+    assertThat(shed).isLessThan(calls / 100);
+  }
+
+  @Test
+  void callersThatMovedUseAllReplicasThatAreLeftWhereInstancesAreFew() {
+    keepFewInstances();
+    play(0.65, 8_000);
+    servers.get(0).die();
+    play(0.65, 20_000, instancesInFirstDomain());
+
+    assertThat(inTime).isGreaterThan((int) (0.95 * calls));
+    assertThat(shed).isLessThan(calls / 100);
+  }
+
+  /** A call that crosses takes milliseconds longer, one that waits for a slot much longer. */
+  @Test
+  void callsCrossOnlyWhereTheOwnDomainIsBusierWhereInstancesAreFew() {
+    keepFewInstances();
+    play(0.05, 5_000, instancesInFirstDomain());
+    assertThat(crossed).isLessThan(calls / 4);
+
+    play(0.75, 20_000, instancesInFirstDomain());
+    assertThat(crossed).isBetween((int) (0.4 * calls), (int) (0.6 * calls));
+    assertThat(inTime).isGreaterThan((int) (0.97 * calls));
+  }
 }
