A metric for requests sent to other failure domains

Nothing told operators whether work leaves the domain in which callers are. bulrushpier_requests_crossed_total counts attempts at replicas elsewhere; the evacuation test on the rig checks it.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
@@ -128,7 +128,7 @@
   }
 
   /** Logs and counts that the request is placed at its replica. */
-  void logPlaced() {
+  void recordPlaced() {
     context
         .log()
         .event(
@@ -162,6 +162,9 @@
     context
         .metrics()
         .placed(placement.cache().sharedPrefillTokens(), placement.cache().fetchedTokens());
+    if (!replica.entry().domain().equals(context.settings().domain())) {
+      context.metrics().crossed();
+    }
   }
 
   /**
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -627,7 +627,7 @@
       inFlight = sent.begin();
       coldSend = context.cold().begin(replica, MonotonicClock.millis());
       HttpFields fields = sent.fields(remaining, lastEvent);
-      sent.logPlaced();
+      sent.recordPlaced();
       outbound =
           OutboundRequest.of(inbound.method(), inbound.target(), fields, inbound.body(), this);
       context.upstreamPool().send(replica.entry().address(), outbound, maxIdle);
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -81,6 +81,9 @@
           "bulrushpier.requests.kept.evacuated",
           "Requests for which replicas of evacuated failure domains were passed over");
 
+  private final Counter crossings =
+      counter("bulrushpier.requests.crossed", "Requests sent to replicas of other failure domains");
+
   private final Counter withheldFromStarted =
       counter(
           "bulrushpier.cold.withheld",
@@ -229,6 +232,11 @@
     evacuationsApplied.increment();
   }
 
+  /** Counts an attempt to run a request on a replica of another failure domain. */
+  void crossed() {
+    crossings.increment();
+  }
+
   void copyOrdered(int tokens, boolean isDoubtful) {
     copies.increment();
     copiedTokens.increment(tokens);
--- a/rig/src/test/java/org/bulrushpier/rig/EvacuationIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/EvacuationIntegrationTest.java
@@ -138,6 +138,7 @@
       assertThat(instance.metric("bulrushpier_domains_evacuated")).isEqualTo(1);
       assertThat(instance.metric("bulrushpier_evacuated_requests_running")).isZero();
       assertThat(instance.metric("bulrushpier_requests_kept_evacuated_total")).isPositive();
+      assertThat(instance.metric("bulrushpier_requests_crossed_total")).isPositive();
     }
     site.metadataStore().remove(KIND, "norte");
     awaitArrivals("norte");
