Soak: cold engines and their bound, checked at the replicas

Cause: no soak had a cold replica, so that the limit over the whole fleet was held only by its own tests, without kills, freezes, cuts and outages beside it.

Change: engines come back cold from a crash, from one under a prompt part and from a leave, and turn cold without a restart. The observer counts what arrives at a cold engine, from all instances, in touch or not, answers 503 included and 421 not, and finds more than 8 in any second (2 a second x 1.5 + 5). Crashes that a prompt part did not cause are no longer reported as such.

--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -15,7 +15,9 @@
 import java.util.WeakHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.bulrushpier.Address;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.Faults;
@@ -124,6 +126,8 @@
   /** The time from the first event of a generation to the crash that it causes, in ms. */
   private static final long CRASH_DELAY_MILLIS = 50;
 
+  private static final long COLD_STEP_MILLIS = 500;
+
   private final ObjectMapper json = new ObjectMapper();
   private final String id;
   private final int slots;
@@ -153,6 +157,10 @@
   private boolean isAway;
   private boolean areReportsWithheld;
   private Runnable crashListener = () -> {};
+  private BiConsumer<String, Long> arrivalListener = (requestId, millis) -> {};
+  private LongConsumer coldListener = untilMillis -> {};
+  private long coldMillis;
+  private long coldUntilMillis = Long.MIN_VALUE / 2;
   private final List<Long> crashMillis = new ArrayList<>();
 
   /**
@@ -380,8 +388,12 @@
     return poison;
   }
 
+  private synchronized Runnable crashListener() {
+    return crashListener;
+  }
+
   /**
-   * Changes what is called before each crash takes effect.
+   * Changes what is called before each crash under a prompt part takes effect.
    *
    * @param next the listener
    */
@@ -397,13 +409,17 @@
    * @throws IOException if the listen socket cannot be closed
    */
   public void crash(long awayMillis) throws IOException {
+    crash(awayMillis, () -> {});
+  }
+
+  private void crash(long awayMillis, Runnable listener) throws IOException {
     synchronized (this) {
       if (isAway) {
         return;
       }
       isAway = true;
       crashMillis.add(MonotonicClock.millis());
-      crashListener.run();
+      listener.run();
     }
     RunCopiesFake.clear(address().toString());
     server.crash();
@@ -415,6 +431,40 @@
             });
   }
 
+  /**
+   * Changes how long the replica is cold at the begin of each further incarnation.
+   *
+   * @param millis the time, in milliseconds
+   * @param listener receives the monotonic time until which the replica is cold, in milliseconds,
+   *     before any request reaches the new incarnation
+   */
+  public synchronized void setColdMillis(long millis, LongConsumer listener) {
+    coldMillis = millis;
+    coldListener = listener;
+  }
+
+  /**
+   * Makes the replica cold from now on without another incarnation. Its entry says so.
+   *
+   * @param millis the time, in milliseconds
+   * @return the monotonic time until which it is cold, in milliseconds
+   */
+  public synchronized long turnCold(long millis) {
+    coldUntilMillis = Math.max(coldUntilMillis, MonotonicClock.millis() + millis);
+    return coldUntilMillis;
+  }
+
+  /**
+   * Changes what receives the id of each request, as its caller gave it, and the monotonic time of
+   * its arrival in milliseconds. Requests that are answered 421 are left out. Those that waited for
+   * a slot are reported after the wait.
+   *
+   * @param next the listener
+   */
+  public synchronized void setArrivalListener(BiConsumer<String, Long> next) {
+    arrivalListener = next;
+  }
+
   private void comeBack() {
     try {
       beginIncarnation();
@@ -474,9 +524,15 @@
    */
   public synchronized String entry(String service, String state) {
     return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
-            + "\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":%d,"
+            + "\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":%d,\"seq\":1,\"born\":%d,"
             + "\"models\":[{\"name\":\"m0\",\"version\":%d,\"adapters\":[]}]}")
-        .formatted(service, address(), domain, state, bornMillis, version);
+        .formatted(service, address(), domain, state, coldLeftMillis(), bornMillis, version);
+  }
+
+  /** Returns how long the replica remains cold, in the steps in which its entry changes. */
+  private long coldLeftMillis() {
+    long left = Math.max(0, coldUntilMillis - MonotonicClock.millis());
+    return Math.ceilDiv(left, COLD_STEP_MILLIS) * COLD_STEP_MILLIS;
   }
 
   /**
@@ -491,6 +547,10 @@
   /** Registers as another incarnation from now on, as a replica that left does when it returns. */
   public synchronized void beginIncarnation() {
     bornMillis++;
+    if (coldMillis > 0) {
+      coldUntilMillis = MonotonicClock.millis() + coldMillis;
+      coldListener.accept(coldUntilMillis);
+    }
   }
 
   private boolean handle(RawHttpServer.Request request, Socket socket) throws IOException {
@@ -576,6 +636,7 @@
       return execute(request, socket, arrivedMillis);
     }
     if (!awaitSlot(socket)) {
+      arrived(request, arrivedMillis);
       return false;
     }
     try {
@@ -587,6 +648,10 @@
     }
   }
 
+  private synchronized void arrived(RawHttpServer.Request request, long millis) {
+    arrivalListener.accept(request.header("attempt-id"), millis);
+  }
+
   /** Waits for a free slot; returns false if the peer closed the connection before. */
   private boolean awaitSlot(Socket socket) throws IOException {
     Object ticket = new Object();
@@ -638,6 +703,9 @@
       if (repeats && isRefused && !isMisdirected) {
         refusals.put(socket, refusal(request, current));
       }
+      if (!isMisdirected) {
+        arrived(request, arrivedMillis);
+      }
       if (!isMisdirected && !isRefused) {
         execution =
             new Execution(
@@ -817,7 +885,7 @@
       }
       if (poison().isIn(request)) {
         Faults.sleep(CRASH_DELAY_MILLIS);
-        crash(poison().awayMillis());
+        crash(poison().awayMillis(), crashListener());
         return false;
       }
       if (current == Behaviour.HOLD_STREAM && event == firstEvent) {
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Fault.java
@@ -66,6 +66,14 @@
    */
   record Poison(long gapMillis, long millis) implements Fault {}
 
+  /** An engine crashes and is back some time later as another incarnation, which is cold. */
+  record Crash(int engine, long awayMillis) implements Fault {}
+
+  /**
+   * An engine turns cold for some time without a restart. Nothing is played if the store is down.
+   */
+  record TurnCold(int engine, long millis) implements Fault {}
+
   /** A replica closes all its connections. */
   record DropConnections(int replica) implements Fault {}
 
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Observer.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.Faults;
@@ -39,6 +40,8 @@
   /** The part of the idle timeout for which callers use a connection again. */
   private static final double REUSED_SHARE = 0.8;
 
+  private static final long SECOND_MILLIS = 1_000;
+
   private static final String UNKNOWN_DOMAIN = "";
 
   /** The crashes under a prompt part after which all instances have to know of it. */
@@ -79,6 +82,8 @@
     LEFT,
     /** Replicas of a failure domain that is evacuated get no calls. */
     EVACUATION,
+    /** A cold replica gets no more requests in any second than it bears, from all instances. */
+    COLD,
     /** Calls with a prompt part under which engines have crashed reach no more engines. */
     POISON,
     /** After all faults, every engine serves the newest version and calls are answered. */
@@ -93,6 +98,7 @@
   private final Map<String, String> domains = new ConcurrentHashMap<>();
   private final Map<String, Long> evacuatedMillis = new ConcurrentHashMap<>();
   private final Map<String, Long> leftMillis = new ConcurrentHashMap<>();
+  private final Map<String, ColdSpell> coldSpells = new ConcurrentHashMap<>();
   private final Map<String, PoisonRecord> poisons = new ConcurrentHashMap<>();
   private final List<StoredConfiguration> configurations = new CopyOnWriteArrayList<>();
   private final Map<Promise, List<String>> violations = new TreeMap<>();
@@ -109,6 +115,30 @@
     private int lateCalls;
   }
 
+  /** A request that arrived at a replica, and the instance that its caller had called. */
+  private record Arrival(long millis, String sender) {
+    boolean beginsSecondOf(Arrival other) {
+      return other.millis >= millis && other.millis - millis < SECOND_MILLIS;
+    }
+
+    String text(long fromMillis) {
+      return "%d ms %s".formatted(millis - fromMillis, sender);
+    }
+  }
+
+  /** A cold time of a replica and what arrived in it. The arrivals are guarded by its lock. */
+  private static final class ColdSpell {
+    private final String cause;
+    private final long fromMillis = MonotonicClock.millis();
+    private volatile long untilMillis;
+    private final List<Arrival> arrivals = new ArrayList<>();
+
+    ColdSpell(String cause, long untilMillis) {
+      this.cause = cause;
+      this.untilMillis = untilMillis;
+    }
+  }
+
   /** A call with what is known of its executions and its answer. Guarded by its own lock. */
   private static final class CallRecord {
     private final Call call;
@@ -239,6 +269,68 @@
     evacuatedMillis.remove(domain);
   }
 
+  /** Records that another incarnation of a replica begins, which is cold until a moment. */
+  void replicaStartsCold(String replica, long untilMillis) {
+    coldSpells.put(replica, new ColdSpell("started", untilMillis));
+  }
+
+  /** Records that the store acknowledged that a replica has turned cold until a moment. */
+  void replicaTurnsCold(String replica, long untilMillis) {
+    ColdSpell spell = coldSpells.get(replica);
+    if (spell != null && spell.untilMillis > MonotonicClock.millis()) {
+      spell.untilMillis = Math.max(spell.untilMillis, untilMillis);
+    } else {
+      coldSpells.put(replica, new ColdSpell("turned cold", untilMillis));
+    }
+  }
+
+  /** Records a request that arrived at a replica and was not answered 421. */
+  void requestArrived(String replica, String call, long millis) {
+    ColdSpell spell = coldSpells.get(replica);
+    if (spell == null || millis < spell.fromMillis || millis >= spell.untilMillis) {
+      return;
+    }
+    CallRecord record = calls.get(call);
+    synchronized (spell) {
+      count("atCold");
+      if (spell.arrivals.isEmpty()) {
+        count("coldSpellsWithLoad");
+      }
+      spell.arrivals.add(new Arrival(millis, record == null ? "?" : record.instance.name()));
+      checkCold(replica, spell, millis);
+    }
+  }
+
+  /** Checks each second that begins with an arrival and contains a moment. */
+  private void checkCold(String replica, ColdSpell spell, long millis) {
+    List<Arrival> most = List.of();
+    for (Arrival first : spell.arrivals) {
+      long since = millis - first.millis;
+      if (since >= 0 && since < SECOND_MILLIS) {
+        List<Arrival> second = spell.arrivals.stream().filter(first::beginsSecondOf).toList();
+        most = second.size() > most.size() ? second : most;
+      }
+    }
+    int count = most.size();
+    synchronized (counts) {
+      counts.merge("mostAtColdInSecond", count, Math::max);
+    }
+    if (count > SoakSite.COLD_BOUND && !wasStalledSince(most.getFirst().millis)) {
+      violated(
+          Promise.COLD,
+          "%s, which %s %d ms before, got %d requests within a second, %d allowed: %s"
+              .formatted(
+                  replica,
+                  spell.cause,
+                  millis - spell.fromMillis,
+                  count,
+                  SoakSite.COLD_BOUND,
+                  most.stream()
+                      .map(arrival -> arrival.text(spell.fromMillis))
+                      .collect(Collectors.joining(", "))));
+    }
+  }
+
   /** Records that the store acknowledged that a replica leaves. */
   void replicaLeft(String replica) {
     leftMillis.putIfAbsent(replica, MonotonicClock.millis());
@@ -504,9 +596,10 @@
   /**
    * Returns the number of executions; of generations that started on outdated weights, also those
    * that did so too late at instances out of contact; of executions in evacuated domains, those
-   * that came too late likewise; of calls in progress at SIGTERM that got a whole answer; of stalls
-   * of this process and checks left out because of them; and of answers that were whole or cut off,
-   * by status, 0 being none.
+   * that came too late likewise; of requests at cold replicas, of the cold times with such
+   * requests, and the most of them in any second; of calls in progress at SIGTERM that got a whole
+   * answer; of stalls of this process and checks left out because of them; and of answers that were
+   * whole or cut off, by status, 0 being none.
    */
   Map<String, Integer> counts() {
     synchronized (counts) {
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Schedule.java
@@ -77,6 +77,7 @@
       poisons();
       strains();
       evacuations();
+      coldEngines();
       entries.removeIf(entry -> entry.atMillis() >= endMillis);
       entries.sort(Comparator.comparingLong(Entry::atMillis));
       return new Schedule(List.copyOf(entries));
@@ -143,6 +144,23 @@
       }
     }
 
+    /** Engines that crash and come back cold together, or turn cold, beside the other faults. */
+    private void coldEngines() {
+      millis = FIRST_MILLIS;
+      while (millis < endMillis) {
+        millis += between(2_000, 7_000);
+        int first = random.nextInt(engines);
+        boolean isCrash = random.nextInt(3) > 0;
+        long duration = isCrash ? between(300, 2_500) : between(2_000, 6_000);
+        for (int i = random.nextInt(3); i >= 0; i--) {
+          int engine = (first + i) % engines;
+          add(
+              0,
+              isCrash ? new Fault.Crash(engine, duration) : new Fault.TurnCold(engine, duration));
+        }
+      }
+    }
+
     private long between(long low, long high) {
       return low + random.nextLong(high - low);
     }
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -57,6 +57,13 @@
   /** The time within which an evacuation must be in force, in milliseconds. */
   static final long EVACUATION_MILLIS = 4_000;
 
+  /** The requests that a cold engine may get in any second. */
+  static final int COLD_BOUND = 8;
+
+  private static final String COLD_SERVICE = "\"cold_s\":3.0,\"cold_per_s\":2,";
+  private static final String COLD_SETTINGS = "cold-overage = 1.5\ncold-slack = 5\n";
+  private static final long COLD_MILLIS = 3_000;
+
   /** The failure domains of instances and replicas. */
   static final List<String> DOMAINS = List.of("norte", "sur");
 
@@ -107,6 +114,10 @@
       ReplicaFake replica = ReplicaFake.start(id, SLOTS, observer::executionStarts);
       replica.setDomain(domain);
       replica.setPace(PACE);
+      if (i < ENGINES) {
+        replica.setColdMillis(COLD_MILLIS, until -> observer.replicaStartsCold(id, until));
+        replica.setArrivalListener((call, millis) -> observer.requestArrived(id, call, millis));
+      }
       site.replicas.add(replica);
     }
     site.store.requestWeights(site.version);
@@ -157,6 +168,7 @@
           weights-change-ms = %d
           evacuation-ms = %d
           """
+              .concat(COLD_SETTINGS)
               .formatted(
                   name,
                   DOMAINS.get(i % DOMAINS.size()),
@@ -203,15 +215,16 @@
     }
   }
 
-  private void register(ReplicaFake replica, String service) throws IOException {
-    if (leaving.contains(replica)) {
-      if (store.register(replica, service, "draining")) {
-        observer.replicaLeft(replica.id());
-      }
-    } else {
+  private boolean register(ReplicaFake replica, String service) throws IOException {
+    if (!leaving.contains(replica)) {
       observer.replicaReturns(replica.id());
-      store.register(replica, service, "ready");
+      return store.register(replica, service, "ready");
+    }
+    boolean isStored = store.register(replica, service, "draining");
+    if (isStored) {
+      observer.replicaLeft(replica.id());
     }
+    return isStored;
   }
 
   List<Instance> instances() {
@@ -286,6 +299,8 @@
         replicas.get(f.engine()).setPace(PACE);
       }
       case Fault.Poison f -> poison(f.gapMillis(), f.millis());
+      case Fault.Crash f -> crash(replicas.get(f.engine()), f.awayMillis());
+      case Fault.TurnCold f -> turnCold(replicas.get(f.engine()), f.millis());
       case Fault.DropConnections f -> {
         observer.replicaFaulty(replicas.get(f.replica()).id(), 0);
         replicas.get(f.replica()).dropConnections();
@@ -293,6 +308,26 @@
     }
   }
 
+  private void crash(ReplicaFake engine, long awayMillis) {
+    observer.replicaFaulty(engine.id(), awayMillis);
+    try {
+      engine.crash(awayMillis);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void turnCold(ReplicaFake engine, long millis) {
+    try {
+      long untilMillis = engine.turnCold(millis);
+      if (register(engine, "engines")) {
+        observer.replicaTurnsCold(engine.id(), untilMillis);
+      }
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private void evacuate(Fault.Evacuate fault) {
     if (!evacuated.add(fault.domain())) {
       return;
@@ -409,7 +444,8 @@
       store.put(
           StoreFormat.CONFIGURATIONS,
           "main",
-          CallerFake.configuration(++configuration, keys, timeoutMillis, idleTimeoutMillis));
+          CallerFake.configuration(++configuration, keys, timeoutMillis, idleTimeoutMillis)
+              .replace("\"name\":\"engines\",", "\"name\":\"engines\"," + COLD_SERVICE));
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
--- a/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/soak/ObserverTest.java
@@ -2,11 +2,19 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.gateway.CallerFake.Answer;
 import org.bulrushpier.rig.gateway.CallerFake.Call;
 import org.bulrushpier.rig.gateway.CallerFake.Route;
+import org.bulrushpier.rig.gateway.ReplicaFake;
+import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
 import org.bulrushpier.rig.gateway.ReplicaFake.Execution;
 import org.bulrushpier.rig.soak.Observer.Promise;
 import org.junit.jupiter.api.Test;
@@ -103,6 +111,71 @@
     assertThat(observer.violations()).isEmpty();
   }
 
+  private void arrive(String replica, long millis, int requests) {
+    for (int i = 0; i < requests; i++) {
+      observer.requestArrived(replica, "c1", millis);
+    }
+  }
+
+  @Test
+  void coldReplicaMayGetItsBoundInAnySecondAndMoreAfterItsColdTime() {
+    begin(Route.STREAM);
+    observer.replicaStartsCold("r1", MonotonicClock.millis() + 3_000);
+    observer.replicaStartsCold("r2", MonotonicClock.millis() + 3_000);
+    long start = MonotonicClock.millis();
+    arrive("r1", start, SoakSite.COLD_BOUND);
+    arrive("r2", start, SoakSite.COLD_BOUND);
+    arrive("r1", start + 1_000, SoakSite.COLD_BOUND);
+    arrive("r1", start + 3_000, SoakSite.COLD_BOUND + 1);
+    arrive("r3", start, SoakSite.COLD_BOUND + 1);
+
+    assertThat(observer.violations()).isEmpty();
+    assertThat(observer.counts())
+        .containsEntry("coldSpellsWithLoad", 2)
+        .containsEntry("atCold", 3 * SoakSite.COLD_BOUND)
+        .containsEntry("mostAtColdInSecond", SoakSite.COLD_BOUND);
+  }
+
+  @Test
+  void requestBeyondTheBoundOfColdReplicaIsFoundWithItsSender() {
+    begin(Route.STREAM);
+    observer.replicaTurnsCold("r1", MonotonicClock.millis() + 500);
+    observer.replicaTurnsCold("r1", MonotonicClock.millis() + 3_000);
+    long start = MonotonicClock.millis();
+    arrive("r1", start + 1_999, SoakSite.COLD_BOUND);
+    assertThat(observer.violations()).isEmpty();
+    arrive("r1", start + 1_000, 1);
+
+    assertViolated(Promise.COLD);
+    assertThat(observer.violations().get(Promise.COLD.name()).getFirst())
+        .startsWith("r1, which turned cold ")
+        .contains("got 9 requests within a second, 8 allowed: ", " ms gateway-1, ");
+  }
+
+  @Test
+  void requestsThatAreRefusedReachReplicaAndThoseThatAreMisdirectedDoNot() throws Exception {
+    List<String> arrived = new ArrayList<>();
+    try (ReplicaFake replica = ReplicaFake.start("r1")) {
+      replica.setArrivalListener((call, millis) -> arrived.add(call));
+      request(replica, "r2", "misdirected");
+      request(replica, "r1", "executed");
+      replica.setBehaviour(Behaviour.REFUSE);
+      request(replica, "r1", "refused");
+    }
+
+    assertThat(arrived).containsExactly("executed", "refused");
+  }
+
+  private static void request(ReplicaFake replica, String expected, String id) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + replica.address() + "/"))
+            .headers("Expect-Instance", expected, "Attempt-Id", id)
+            .build();
+    try (HttpClient client = HttpClient.newHttpClient()) {
+      client.send(request, BodyHandlers.discarding());
+    }
+  }
+
   @Test
   void secondExecutionIsFound() {
     begin(Route.ONCE);
