A replica that refused a connection is cold when it listens again

Cause: a replica that restarts listens before its new entry arrives.

Change: a refused connection proves that nothing listens, so whatever answers there next has just started. The replica counts as cold until its entry names another incarnation, it answers (then for cold_s more) or 10 s have passed; what the registry says of the old incarnation does not end that.

Tests of library, platform and daemon pass.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/ConnectionPool.java
@@ -1,5 +1,6 @@
 package org.bulrushpier.daemon.net;
 
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -148,11 +149,14 @@
       }
     }
 
-    void openFailed(String detail) {
+    void openFailed(Throwable failure) {
       opening--;
       OutboundRequest next = pollWaiting();
       if (next != null) {
-        next.listener().failed("cannot connect to " + address + ": " + detail);
+        if (failure instanceof ConnectException) {
+          next.listener().refused();
+        }
+        next.listener().failed("cannot connect to " + address + ": " + failure.getMessage());
       }
     }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
@@ -94,7 +94,7 @@
     void failed(Throwable failure) {
       if (!isFailed) {
         isFailed = true;
-        group.openFailed(String.valueOf(failure.getMessage()));
+        group.openFailed(failure);
         try {
           if (channel != null) {
             channel.close();
--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundRequest.java
@@ -60,6 +60,9 @@
      */
     default void disconnected() {}
 
+    /** The peer refused the connection, as nothing listens there. Followed by {@link #failed}. */
+    default void refused() {}
+
     /**
      * The response failed before it was complete.
      *
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
@@ -66,6 +66,13 @@
     }
   }
 
+  /** Records that a replica refused a connection. */
+  void refused(Replica replica, long nowMillis) {
+    if (limit(replica.entry().service()).isLimiting() && replicas.refused(replica, nowMillis)) {
+      logCold(replica, "refused a connection", nowMillis);
+    }
+  }
+
   private void logCold(Replica replica, String source, long nowMillis) {
     ColdLimit limit = limit(replica.entry().service());
     context
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -1123,6 +1123,11 @@
       isDisconnected = true;
     }
 
+    @Override
+    public void refused() {
+      context.cold().refused(replica, MonotonicClock.millis());
+    }
+
     @Override
     public void failed(String detail) {
       if (isEnded) {
--- a/library/src/main/java/org/bulrushpier/replica/ColdReplicas.java
+++ b/library/src/main/java/org/bulrushpier/replica/ColdReplicas.java
@@ -106,6 +106,21 @@
     return !wasCold;
   }
 
+  /**
+   * Records that a replica refused a connection, so that it has just started when it listens again.
+   * Its new entry may come after that.
+   *
+   * @param replica the replica
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return true if it was not taken to be cold before
+   */
+  public boolean refused(Replica replica, long nowMillis) {
+    boolean wasCold = replica.coldSpell().isCold(nowMillis);
+    replica.coldSpell().refused(nowMillis);
+    cold.add(replica);
+    return !wasCold;
+  }
+
   /**
    * Records an answer of a replica, which is cold for its full time if it may have restarted.
    *
@@ -116,7 +131,7 @@
   public void answered(Replica replica, long coldMillis, long nowMillis) {
     if (replica.coldSpell().isSuspect(nowMillis)) {
       replica.coldSpell().told(coldMillis, nowMillis);
-      replica.coldSpell().clearSuspicion();
+      replica.coldSpell().answered();
     }
   }
 
--- a/library/src/main/java/org/bulrushpier/replica/ColdSpell.java
+++ b/library/src/main/java/org/bulrushpier/replica/ColdSpell.java
@@ -23,6 +23,7 @@
   private final ArrayDeque<Send> sends = new ArrayDeque<>();
   private long coldUntilMillis = NEVER;
   private long suspectUntilMillis = NEVER;
+  private long refusedUntilMillis = NEVER;
   private long pausedUntilMillis = NEVER;
 
   /** A request to the replica. */
@@ -94,13 +95,35 @@
     return !wasSuspect;
   }
 
-  /** Records that it is known that the replica has not restarted. */
+  /**
+   * Records that the replica refused a connection: whatever answers there next has just started.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  void refused(long nowMillis) {
+    refusedUntilMillis = nowMillis + SUSPICION_MILLIS;
+  }
+
+  /**
+   * Records that the registry says that the replica has not restarted, which does not count if it
+   * refused connections.
+   */
   void clearSuspicion() {
     suspectUntilMillis = NEVER;
   }
 
+  /** Records that the replica has answered, so that its cold time is known. */
+  void answered() {
+    suspectUntilMillis = NEVER;
+    refusedUntilMillis = NEVER;
+  }
+
   boolean isSuspect(long nowMillis) {
-    return nowMillis < suspectUntilMillis;
+    return nowMillis < suspicionEndMillis();
+  }
+
+  private long suspicionEndMillis() {
+    return Math.max(suspectUntilMillis, refusedUntilMillis);
   }
 
   /**
@@ -120,7 +143,7 @@
    * @return the time in milliseconds, or 0
    */
   public long leftMillis(long nowMillis) {
-    return isCold(nowMillis) ? Math.max(coldUntilMillis, suspectUntilMillis) - nowMillis : 0;
+    return isCold(nowMillis) ? Math.max(coldUntilMillis, suspicionEndMillis()) - nowMillis : 0;
   }
 
   boolean isPaused(long nowMillis) {
@@ -135,7 +158,7 @@
    * @return the time in milliseconds, which is long if it never was
    */
   public long warmMillis(long nowMillis) {
-    return nowMillis - Math.max(coldUntilMillis, suspectUntilMillis);
+    return nowMillis - Math.max(coldUntilMillis, suspicionEndMillis());
   }
 
   /**
--- a/library/src/test/java/org/bulrushpier/replica/ColdReplicasTest.java
+++ b/library/src/test/java/org/bulrushpier/replica/ColdReplicasTest.java
@@ -212,6 +212,22 @@
     assertThat(isAdmitted(replica, NOW)).isTrue();
   }
 
+  /** Its new entry comes after it listens again, so the registry cannot rule a restart out. */
+  @Test
+  void replicaThatRefusedConnectionsIsColdUntilItAnswersWhateverTheRegistrySays() {
+    Replica replica = replica("r");
+    place = Optional.of(OTHER);
+    assertThat(cold.refused(replica, NOW)).isTrue();
+    assertThat(cold.refused(replica, NOW + 100)).isFalse();
+    cold.registryRead(NOW + 200, true);
+    assertThat(isAdmitted(replica, NOW + 200)).isFalse();
+
+    cold.answered(replica, COLD_MILLIS, NOW + 300);
+    assertThat(replica.coldSpell().leftMillis(NOW + 300)).isEqualTo(COLD_MILLIS);
+    cold.answered(replica, COLD_MILLIS, NOW + 400);
+    assertThat(replica.coldSpell().leftMillis(NOW + 400)).isEqualTo(COLD_MILLIS - 100);
+  }
+
   /** The news of a frozen instance are as old as its freeze. */
   @Test
   void afterLongStallAnyReplicaCountsAsColdUntilRegistryIsRead() {
--- a/rig/src/test/java/org/bulrushpier/rig/ColdReplicaIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/ColdReplicaIntegrationTest.java
@@ -127,6 +127,19 @@
     assertThat(mostInOneSecond(warm)).isGreaterThan(BOUND);
   }
 
+  /** The registry says only later that it is another incarnation. */
+  @Test
+  void engineThatListensAgainBeforeItsEntryIsRenewedIsLimited() throws Exception {
+    ReplicaFake engine = site.engines().get(0);
+    long crashed = MonotonicClock.millis();
+    engine.crash(600);
+    Thread.sleep(3_000);
+
+    List<Long> arrivals = arrivals(engine, crashed + 600, crashed + 3_000);
+    assertThat(arrivals).isNotEmpty();
+    assertThat(mostInOneSecond(arrivals)).isLessThanOrEqualTo(BOUND);
+  }
+
   @Test
   void engineThatTurnsColdAgainWithoutRestartIsLimited() throws Exception {
     ReplicaFake engine = site.engines().get(0);
