Soak: store readers at even seeds

Cause: no soak had instances that learn of changes from another instance.

Change: with an even seed one instance of each failure domain reads the metadata store for the other. All other bounds are as without readers.

--- a/rig/src/main/java/org/bulrushpier/rig/soak/Instance.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Instance.java
@@ -198,6 +198,11 @@
    */
   synchronized void silenceLink() {
     storeLink.silenceOpenConnections();
+    recordStoreSilence();
+  }
+
+  /** Records an outage of the store that has ended, which may be one of the instance's reader. */
+  synchronized void recordStoreSilence() {
     storeAwayUntilMillis = MonotonicClock.millis();
   }
 
--- a/rig/src/main/java/org/bulrushpier/rig/soak/Soak.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/Soak.java
@@ -17,7 +17,8 @@
 
 /**
  * A soak: real instances of the gateway serve clients while faults are played that are drawn from a
- * seed, and the promises to callers and operators are checked.
+ * seed, and the promises to callers and operators are checked. With an even seed, one instance of
+ * each failure domain reads the metadata store for the others.
  *
  * <pre>{@code
  * Soak.Result result = Soak.run(Launcher.fromSystemProperty(), 1, 60);
@@ -63,10 +64,10 @@
     }
   }
 
-  private Soak(Launcher launcher) throws IOException {
+  private Soak(Launcher launcher, int storeReaders) throws IOException {
     log = new PrintWriter(Files.newBufferedWriter(launcher.directory().resolve("soak.log")), true);
     observer = new Observer(this::log);
-    site = SoakSite.start(launcher, observer);
+    site = SoakSite.start(launcher, observer, storeReaders);
   }
 
   /**
@@ -88,7 +89,7 @@
 
   /** Runs a soak with the given faults; the seed determines the calls. */
   static Result play(Launcher launcher, long seed, Schedule schedule) throws IOException {
-    Soak soak = new Soak(launcher);
+    Soak soak = new Soak(launcher, seed % 2 == 0 ? 1 : 0);
     try (soak.log;
         soak.site) {
       return soak.playAndCheck(seed, schedule);
@@ -113,6 +114,7 @@
     playFaults(schedule);
     log("all faults have ended");
     checkRecovery();
+    observer.count("watchesAtReaders", site.watchesAtReaders());
     clients.forEach(Client::stop);
     join(threads);
     return new Result(
--- a/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
+++ b/rig/src/main/java/org/bulrushpier/rig/soak/SoakSite.java
@@ -2,10 +2,13 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -60,6 +63,8 @@
   /** The requests that a cold engine may get in any second. */
   static final int COLD_BOUND = 8;
 
+  private static final String WATCHES_AT_READERS =
+      "bulrushpier_store_watches_total{source=\"reader\"}";
   private static final String COLD_SERVICE = "\"cold_s\":3.0,\"cold_per_s\":2,";
   private static final String COLD_SETTINGS = "cold-overage = 1.5\ncold-slack = 5\n";
   private static final long COLD_MILLIS = 3_000;
@@ -79,10 +84,12 @@
   private static final int LOOPBACK_NETS = 250;
 
   private final Observer observer;
+  private final int storeReaders;
   private final MetadataStoreFake store;
   private final List<ReplicaFake> replicas = new ArrayList<>();
   private final List<Instance> instances = new ArrayList<>();
   private final List<ProxyLink> links = new ArrayList<>();
+  private final List<Address> metricsAddresses = new ArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
   private final Map<String, String> keys = new TreeMap<>();
   private final Set<ReplicaFake> leaving = ConcurrentHashMap.newKeySet();
@@ -95,17 +102,21 @@
   private int version = 1;
   private int storeOutages;
 
-  private SoakSite(Observer observer) throws IOException {
+  private SoakSite(Observer observer, int storeReaders) throws IOException {
     this.observer = observer;
+    this.storeReaders = storeReaders;
     store = MetadataStoreFake.start();
     for (String customer : List.of("ate", "barranco", "comas")) {
       keys.put(customer, "key-" + customer);
     }
   }
 
-  /** Starts the fakes and the instances; each becomes ready by itself. */
-  static SoakSite start(Launcher launcher, Observer observer) throws IOException {
-    SoakSite site = new SoakSite(observer);
+  /**
+   * Starts the fakes and the instances; each becomes ready by itself. In each failure domain the
+   * given number of instances read the store for the others, or all for themselves if it is 0.
+   */
+  static SoakSite start(Launcher launcher, Observer observer, int storeReaders) throws IOException {
+    SoakSite site = new SoakSite(observer, storeReaders);
     site.configure(TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
     for (int i = 0; i < REPLICAS; i++) {
       String id = i < ENGINES ? "engine-" + i : "plain-" + i;
@@ -167,6 +178,7 @@
           order-lease-ms = 1000
           weights-change-ms = %d
           evacuation-ms = %d
+          store-readers = %d
           """
               .concat(COLD_SETTINGS)
               .formatted(
@@ -180,7 +192,9 @@
                   seeds,
                   SHUTDOWN_SECONDS,
                   CHANGE_MILLIS,
-                  EVACUATION_MILLIS));
+                  EVACUATION_MILLIS,
+                  storeReaders));
+      metricsAddresses.add(free.get(2));
       String command = "org.bulrushpier.daemon.Main gateway --settings " + settings;
       Instance instance = new Instance(launcher, name, command, free.get(0), free.get(1), link);
       instances.add(instance);
@@ -251,6 +265,22 @@
         .toList();
   }
 
+  /** Returns how many watches the present processes have sent to instances that read the store. */
+  int watchesAtReaders() throws IOException {
+    double watches = 0;
+    for (Address address : metricsAddresses) {
+      try (InputStream in = URI.create("http://" + address + "/").toURL().openStream()) {
+        watches +=
+            new String(in.readAllBytes(), StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.startsWith(WATCHES_AT_READERS))
+                .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' '))))
+                .sum();
+      }
+    }
+    return (int) watches;
+  }
+
   /** Plays a fault and returns when it has ended. */
   void play(Fault fault) {
     switch (fault) {
@@ -284,7 +314,7 @@
       }
       case Fault.ImpairLink f -> instances.get(f.instance()).impairLink(f.link(), f.millis());
       case Fault.ResetLink f -> instances.get(f.instance()).resetLink();
-      case Fault.SilenceLink f -> instances.get(f.instance()).silenceLink();
+      case Fault.SilenceLink f -> silenceLink(f.instance());
       case Fault.SendLongBodies f -> sendLongBodies(f);
       case Fault.Misbehave f -> {
         ReplicaFake replica = replicas.get(f.replica());
@@ -308,6 +338,16 @@
     }
   }
 
+  /** Silences the link of an instance, which may be the reader of the others in its domain. */
+  private void silenceLink(int instance) {
+    instances.get(instance).silenceLink();
+    for (int i = 0; storeReaders > 0 && i < INSTANCES; i++) {
+      if (i % DOMAINS.size() == instance % DOMAINS.size()) {
+        instances.get(i).recordStoreSilence();
+      }
+    }
+  }
+
   private void crash(ReplicaFake engine, long awayMillis) {
     observer.replicaFaulty(engine.id(), awayMillis);
     try {
