Retry delay heeds only replicas that may take the request otherwise

Cause: when no replica was usable and one wanted no requests for some time, the delay was the shortest of all replicas of the service that stay, also of those in evacuated domains or outside the homes of the request. Callers saw it as Retry-After of a refusal (503), and read "all replicas want no requests for N ms". It was too short where an evacuated replica was to be back before the others, so that they came back in vain; and if only such replicas had asked for a pause while another one was changing its weights or failing, the request was refused at once with a delay that no usable replica had asked for. Waits at the instance and the choice of a replica were not touched by it.

Change: Candidates keeps the replicas that are excluded only as they want no requests, and tells their shortest time. ReplicaTable.deferralMillis, which knew of neither, is gone.

EvacuationIntegrationTest.evacuatedReplicasThatWantNoRequestsHaveNoSayInTheRetryDelay (engines of the evacuated domain want none for 20 s, the others for 60 s): Retry-After 19.882 s before, failed; passed once with the change.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -227,7 +227,7 @@
     }
     List<Replica> usable = candidates.usable();
     if (usable.isEmpty() && !candidates.isAnyLimited()) {
-      OptionalLong deferral = context.replicas().deferralMillis(service, now);
+      OptionalLong deferral = candidates.deferralMillis(now);
       if (deferral.isPresent()) {
         return new Placement.Refuse(
             "all replicas want no requests for " + deferral.getAsLong() + " ms",
--- a/library/src/main/java/org/bulrushpier/placing/Candidates.java
+++ b/library/src/main/java/org/bulrushpier/placing/Candidates.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -19,12 +20,14 @@
  * @param usable the replicas that may get the request
  * @param starting those that have just started, which get it only if no usable one can take it
  * @param cold those that are cold and have no seat now
+ * @param deferred those that want no requests for some time, and might get it otherwise
  * @param excluded the number of the other replicas by the first reason that applies
  */
 public record Candidates(
     List<Replica> usable,
     List<Replica> starting,
     List<Replica> cold,
+    List<Replica> deferred,
     Map<Exclusion, Integer> excluded) {
 
   /**
@@ -38,6 +41,7 @@
     usable = List.copyOf(usable);
     starting = List.copyOf(starting);
     cold = List.copyOf(cold);
+    deferred = List.copyOf(deferred);
     excluded = Map.copyOf(excluded);
   }
 
@@ -53,6 +57,7 @@
     List<Replica> usable = new ArrayList<>();
     List<Replica> starting = new ArrayList<>();
     List<Replica> cold = new ArrayList<>();
+    List<Replica> deferred = new ArrayList<>();
     Map<Exclusion, Integer> excluded = new EnumMap<>(Exclusion.class);
     for (Replica replica : replicas) {
       Optional<Exclusion> reason = exclusion.apply(replica);
@@ -64,10 +69,12 @@
           starting.add(replica);
         } else if (reason.get() == Exclusion.COLD) {
           cold.add(replica);
+        } else if (reason.get() == Exclusion.DEFERRED) {
+          deferred.add(replica);
         }
       }
     }
-    return new Candidates(usable, starting, cold, excluded);
+    return new Candidates(usable, starting, cold, deferred, excluded);
   }
 
   /** Returns whether a replica is excluded because it is cold or has just started. */
@@ -102,6 +109,17 @@
     return replicas.stream().anyMatch(replica -> !excludedIds.contains(replica.entry().id()));
   }
 
+  /**
+   * Returns the time until one of the replicas that want no requests now wants some again. Replicas
+   * that may not take the request for another reason have no say.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the shortest time in milliseconds, or empty if there is no such replica
+   */
+  public OptionalLong deferralMillis(long nowMillis) {
+    return deferred.stream().mapToLong(replica -> replica.deferralMillis(nowMillis)).min();
+  }
+
   /** Returns whether a replica is excluded by an evacuation. */
   public boolean isAnyEvacuated() {
     return excluded.containsKey(Exclusion.EVACUATED);
--- a/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
+++ b/library/src/main/java/org/bulrushpier/replica/ReplicaTable.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Stream;
 
@@ -232,20 +231,6 @@
     return withoutForeign().filter(replica -> replica.entry().service().equals(service)).toList();
   }
 
-  /**
-   * Returns the time until a replica of a service wants requests again that wants none now.
-   *
-   * @param service the name of the service
-   * @param nowMillis the current monotonic time, in milliseconds
-   * @return the shortest time in milliseconds, or empty if no replica stays that wants none
-   */
-  public OptionalLong deferralMillis(String service, long nowMillis) {
-    return replicasOf(service).stream()
-        .filter(replica -> !replica.isLeaving() && replica.isDeferred(nowMillis))
-        .mapToLong(replica -> replica.deferralMillis(nowMillis))
-        .min();
-  }
-
   /** Returns all replicas, including those that are leaving and except foreign ones. */
   public Collection<Replica> all() {
     return withoutForeign().toList();
--- a/library/src/test/java/org/bulrushpier/placing/CandidatesTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/CandidatesTest.java
@@ -20,6 +20,8 @@
 
 class CandidatesTest {
 
+  private static final long NOW = 1_000_000;
+
   private final ReplicaTable table = new ReplicaTable();
   private final Map<Replica, Exclusion> exclusions = new HashMap<>();
 
@@ -150,4 +152,23 @@
     assertThat(candidates().usable()).containsExactly(other);
     assertThat(candidates().usableOrStarting()).containsExactlyInAnyOrder(other, starting);
   }
+
+  @Test
+  void onlyReplicasThatMayTakeTheRequestOtherwiseTellWhenToSendItAgain() {
+    Replica evacuated = replica(0);
+    evacuated.defer(NOW + 300);
+    exclusions.put(evacuated, Exclusion.EVACUATED);
+    Replica elsewhere = replica(1);
+    elsewhere.defer(NOW + 400);
+    exclusions.put(elsewhere, Exclusion.OUTSIDE_HOMES);
+    exclusions.put(replica(2), Exclusion.PAUSED);
+    assertThat(candidates().deferralMillis(NOW)).isEmpty();
+
+    for (int i = 3; i < 5; i++) {
+      Replica deferred = replica(i);
+      deferred.defer(NOW + 1_000 * i);
+      exclusions.put(deferred, Exclusion.DEFERRED);
+    }
+    assertThat(candidates().deferralMillis(NOW)).hasValue(3_000);
+  }
 }
--- a/rig/src/test/java/org/bulrushpier/rig/EvacuationIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/EvacuationIntegrationTest.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -17,7 +19,9 @@
 import org.bulrushpier.rig.GatewaySite.Instance;
 import org.bulrushpier.rig.gateway.ReplicaFake;
 import org.bulrushpier.rig.gateway.ReplicaFake.Behaviour;
+import org.bulrushpier.rig.gateway.ReplicaFake.Execution;
 import org.bulrushpier.rig.gateway.ReplicaFake.Pace;
+import org.bulrushpier.rig.gateway.ReplicaFake.RawResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -316,4 +320,41 @@
     site.metadataStore().remove(KIND, "centro");
     GatewaySite.await(() -> generate(instance) == 200);
   }
+
+  private static Optional<RawResponse> deferral(Execution execution, int seconds) {
+    return Optional.of(
+        new RawResponse(
+            "HTTP/1.1 503 X\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %d\r\n"
+                    .formatted(execution.requestId(), seconds)
+                + "Content-Length: 0\r\n\r\n",
+            false));
+  }
+
+  private double retryAfterSeconds(Instance instance) throws Exception {
+    HttpResponse<InputStream> refused = instance.generate(newParts()).get();
+    refused.body().readAllBytes();
+    assertThat(refused.statusCode()).isEqualTo(503);
+    return Double.parseDouble(refused.headers().firstValue("Retry-After").orElse("0"));
+  }
+
+  @Test
+  void evacuatedReplicasThatWantNoRequestsHaveNoSayInTheRetryDelay() throws Exception {
+    Instance instance = site.startInstances(1).getFirst();
+    Set<String> deferred = ConcurrentHashMap.newKeySet();
+    for (ReplicaFake engine : site.engines()) {
+      int seconds = List.of("e0", "e2").contains(engine.id()) ? 20 : 60;
+      engine.setScript(
+          (execution, isFirst) -> {
+            deferred.add(execution.replica());
+            return deferral(execution, seconds);
+          });
+    }
+    GatewaySite.await(() -> generate(instance) == 503 && deferred.size() == 4);
+    assertThat(retryAfterSeconds(instance)).isBetween(10.0, 20.0);
+
+    evacuate("norte");
+    GatewaySite.await(() -> instance.metric("bulrushpier_domains_evacuated") == 1);
+
+    assertThat(retryAfterSeconds(instance)).isBetween(40.0, 60.0);
+  }
 }
