Status of a gateway: evacuations, cold replicas and the age of what it believes

Operators could not see at one place which evacuations an instance has in force, which replicas are cold and for how long, and how old its news is; 'bulrushpier status' asked entries only. It names no customer and no key.

Ages come from the responses of the store that confirmed each kind (Confirmations); explain tells them too, which it could not. The reasons are those of placement: ReplicaSelection and the status share GatewayContext.exclusion. Missing beside it and added: the metric bulrushpier_requests_kept_cold_total (once a request; cold_withheld counts selections), maxAgeMs in replica-cold, reasons in not-ready.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ColdGuard.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.daemon.serve;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.bulrushpier.fleet.Place;
 import org.bulrushpier.limit.ColdLimit;
 import org.bulrushpier.replica.ColdReplicas;
@@ -36,15 +37,28 @@
         context.coldStart(service).perSecond(), settings.coldOverage(), settings.coldSlack());
   }
 
-  /** Records what a registry entry says. */
-  void entryRead(Replica replica, boolean isKnown, long revision, long nowMillis) {
-    told(replica, replica.entry().coldMillis(), isKnown, "revision " + revision, nowMillis);
+  /**
+   * Records what a registry entry says.
+   *
+   * @param isKnown whether requests may have been sent to this incarnation before
+   * @param revision the revision of the entry
+   * @param maxAgeMillis the age that the entry has at most, in milliseconds, or -1 if not known
+   */
+  void entryRead(
+      Replica replica, boolean isKnown, long revision, long maxAgeMillis, long nowMillis) {
+    String source = "revision " + revision;
+    told(replica, replica.entry().coldMillis(), isKnown, source, maxAgeMillis, nowMillis);
   }
 
   private void told(
-      Replica replica, long leftMillis, boolean isKnown, String source, long nowMillis) {
+      Replica replica,
+      long leftMillis,
+      boolean isKnown,
+      String source,
+      long maxAgeMillis,
+      long nowMillis) {
     if (replicas.told(replica, leftMillis, isKnown, nowMillis)) {
-      logCold(replica, source, nowMillis);
+      logCold(replica, source, maxAgeMillis, nowMillis);
       if (isKnown) {
         context.paces().begin(replica, "cold again", nowMillis);
       }
@@ -54,7 +68,7 @@
   /** Records what an answer says of its replica, and that there was one. */
   void answered(Replica replica, long leftMillis, long nowMillis) {
     replicas.answered(replica, context.coldStart(replica.entry().service()).millis(), nowMillis);
-    told(replica, leftMillis, true, "answer", nowMillis);
+    told(replica, leftMillis, true, "answer", 0, nowMillis);
   }
 
   /** Records that a replica broke off or was silent. */
@@ -62,18 +76,18 @@
     if (limit(replica.entry().service()).isLimiting()
         && !context.replicas().isCurrent(nowMillis)
         && replicas.mayHaveRestarted(replica, nowMillis)) {
-      logCold(replica, "failed while the registry cannot be read", nowMillis);
+      logCold(replica, "failed while the registry cannot be read", 0, nowMillis);
     }
   }
 
   /** Records that a replica refused a connection. */
   void refused(Replica replica, long nowMillis) {
     if (limit(replica.entry().service()).isLimiting() && replicas.refused(replica, nowMillis)) {
-      logCold(replica, "refused a connection", nowMillis);
+      logCold(replica, "refused a connection", 0, nowMillis);
     }
   }
 
-  private void logCold(Replica replica, String source, long nowMillis) {
+  private void logCold(Replica replica, String source, long maxAgeMillis, long nowMillis) {
     ColdLimit limit = limit(replica.entry().service());
     context
         .log()
@@ -83,6 +97,8 @@
             replica.entry().incarnation(),
             "source",
             source,
+            "maxAgeMs",
+            maxAgeMillis,
             "leftMs",
             replica.coldSpell().leftMillis(nowMillis),
             "share",
@@ -106,6 +122,16 @@
         : Optional.of(Exclusion.COLD);
   }
 
+  /**
+   * Returns the number of requests that this instance may send to a replica in a window, or empty
+   * if there is no limit.
+   */
+  OptionalInt share(Replica replica, long nowMillis) {
+    ColdLimit limit = limit(replica.entry().service());
+    int share = limit.isLimiting() ? replicas.share(limit, replica, nowMillis) : Integer.MAX_VALUE;
+    return share == Integer.MAX_VALUE ? OptionalInt.empty() : OptionalInt.of(share);
+  }
+
   /** Records a request that is about to be sent to a replica. */
   ColdSpell.Send begin(Replica replica, long nowMillis) {
     if (replica.coldSpell().isCold(nowMillis)) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Explainer.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Explainer.java
@@ -7,6 +7,7 @@
 import java.util.TreeSet;
 import org.bulrushpier.Moment;
 import org.bulrushpier.MonotonicClock;
+import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.call.CallerRequest;
 import org.bulrushpier.call.PromptPart;
 import org.bulrushpier.call.PromptShape;
@@ -232,33 +233,37 @@
             configuration.isEmpty()
                 ? Explanation.UNKNOWN
                 : context.configuration().ageMillis(Moment.now())));
+    Moment now = Moment.now();
     boolean isCurrent = context.replicas().isCurrent(MonotonicClock.millis());
     beliefs.add(
-        belief(
+        new Belief(
             "replicas",
             !context.replicas().isListed()
                 ? "not known"
-                : isCurrent ? "as registered" : "as registered before the store went away"));
+                : isCurrent ? "as registered" : "as registered before the store went away",
+            age(StoreFormat.REPLICAS, now)));
     if (context.evacuations().isWatched()) {
       beliefs.add(
-          belief(
+          new Belief(
               "evacuated domains",
               context.evacuations().areKnown()
                   ? new TreeSet<>(context.evacuations().domains()).toString()
-                  : "not known"));
+                  : "not known",
+              age(StoreFormat.EVACUATIONS, now)));
     }
     prompt.ifPresent(
         p ->
             beliefs.add(
-                belief(
+                new Belief(
                     "requested weights of " + p.model(),
                     context.weights().isListed()
                         ? "version " + context.weights().target(p.model()).version()
-                        : "not known")));
+                        : "not known",
+                    age(StoreFormat.WEIGHTS, now))));
     return beliefs;
   }
 
-  private static Belief belief(String name, String value) {
-    return new Belief(name, value, Explanation.UNKNOWN);
+  private long age(String kind, Moment now) {
+    return context.confirmations().ageMillis(kind, now).orElse(Explanation.UNKNOWN);
   }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.daemon.serve;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -132,7 +133,8 @@
     Gateway gateway = new Gateway(settings);
     gateway.loop.listen(settings.readyAddress(), gateway.new ReadinessHandler());
     gateway.loop.listen(settings.callerAddress(), gateway.new CallerHandler());
-    gateway.loop.listen(settings.metricsAddress(), new OperatorHandler(gateway.context));
+    gateway.loop.listen(
+        settings.metricsAddress(), new OperatorHandler(gateway.context, gateway::unreadyReasons));
     if (settings.fleetAddress().isPresent()) {
       gateway.fleet = FleetExchange.start(settings.fleetAddress().get(), gateway.context);
       if (settings.storeReaders() > 0) {
@@ -277,7 +279,7 @@
             sources,
             kind,
             timing,
-            listener)
+            context.confirmations().recording(kind, listener))
         .start();
   }
 
@@ -352,20 +354,41 @@
   }
 
   private boolean isReady() {
-    long age = context.configuration().ageMillis(Moment.now());
-    boolean isReady =
-        !isShuttingDown
-            && context.keyFreshness().isReady(age)
-            && context.weights().isListed()
-            && context.evacuations().areKnown()
-            && context.replicas().isListed();
+    List<String> reasons = unreadyReasons();
+    boolean isReady = reasons.isEmpty();
     if (isReady != wasReady) {
       wasReady = isReady;
-      context.log().event(isReady ? "ready" : "not-ready", "leaving", isShuttingDown);
+      context
+          .log()
+          .event(isReady ? "ready" : "not-ready", "leaving", isShuttingDown, "reasons", reasons);
     }
     return isReady;
   }
 
+  /** Returns why the instance is not ready; empty if it is. */
+  private List<String> unreadyReasons() {
+    List<String> reasons = new ArrayList<>();
+    if (isShuttingDown) {
+      reasons.add("this instance is shutting down");
+    }
+    long age = context.configuration().ageMillis(Moment.now());
+    if (context.configuration().configuration().isEmpty()) {
+      reasons.add("no configuration is known yet");
+    } else if (!context.keyFreshness().isReady(age)) {
+      reasons.add("the configuration was last confirmed " + age + " ms ago");
+    }
+    if (!context.weights().isListed()) {
+      reasons.add("the requested weights are not known yet");
+    }
+    if (!context.evacuations().areKnown()) {
+      reasons.add("the evacuations are not known yet");
+    }
+    if (!context.replicas().isListed()) {
+      reasons.add("the replicas are not known yet");
+    }
+    return reasons;
+  }
+
   /** Shuts down gracefully: reports that it is not ready, and waits for running requests. */
   public void shutDown() {
     long start = MonotonicClock.millis();
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -23,6 +23,7 @@
 import org.bulrushpier.placing.PrefillRate;
 import org.bulrushpier.placing.ReplicaClock;
 import org.bulrushpier.placing.StallDetector;
+import org.bulrushpier.replica.Exclusion;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.replica.ReplicaTable;
 import org.bulrushpier.rollout.TargetWeights;
@@ -52,6 +53,7 @@
   private final ReplicaTable replicas = new ReplicaTable();
   private final TargetWeights weights = new TargetWeights();
   private final Evacuations evacuations = new Evacuations();
+  private final Confirmations confirmations = new Confirmations();
   private final WeightInquiry weightInquiry =
       WeightInquiry.of(weights, ThreadLocalRandom.current().nextLong());
   private final ReplicaClock replicaClock = new ReplicaClock();
@@ -136,6 +138,31 @@
     return evacuations;
   }
 
+  /** Returns when what is known of the store's objects was last confirmed. */
+  Confirmations confirmations() {
+    return confirmations;
+  }
+
+  /**
+   * Returns the first reason for which a replica may get no request now, whatever the request.
+   *
+   * @param replica the replica
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the reason, or empty if it may get requests
+   */
+  Optional<Exclusion> exclusion(Replica replica, long nowMillis) {
+    if (replica.isLeaving()) {
+      return Optional.of(Exclusion.LEAVING);
+    }
+    if (!evacuations.mayReceive(replica.entry().domain())) {
+      return Optional.of(Exclusion.EVACUATED);
+    }
+    return replica
+        .exclusion(nowMillis)
+        .or(() -> cold.exclusion(replica, nowMillis))
+        .or(() -> paces.exclusion(replica, nowMillis));
+  }
+
   WeightInquiry weightInquiry() {
     return weightInquiry;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -89,6 +89,11 @@
           "bulrushpier.cold.withheld",
           "Selections that left out replicas that are cold or have just started");
 
+  private final Counter keptFromCold =
+      counter(
+          "bulrushpier.requests.kept.cold",
+          "Requests for which cold replicas were passed over, as this instance had no seat left");
+
   private final Counter placedAtCold =
       counter("bulrushpier.cold.placed", "Requests placed at cold replicas");
 
@@ -219,6 +224,11 @@
     withheldFromStarted.increment();
   }
 
+  /** Counts a request that may not be sent to a cold replica. */
+  void keptFromCold() {
+    keptFromCold.increment();
+  }
+
   void placedAtCold() {
     placedAtCold.increment();
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/OperatorHandler.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/OperatorHandler.java
@@ -1,5 +1,7 @@
 package org.bulrushpier.daemon.serve;
 
+import java.util.List;
+import java.util.function.Supplier;
 import org.bulrushpier.Codec;
 import org.bulrushpier.Hash;
 import org.bulrushpier.adapter.CallFormat;
@@ -9,7 +11,7 @@
 import org.eclipse.jetty.http.HttpFields;
 
 /**
- * Answers operators on the metrics address: the metrics, and explanations of requests.
+ * Answers operators on the metrics address: the metrics, the status, and explanations of requests.
  *
  * <p>Guarded by the loop's lock.
  */
@@ -18,18 +20,33 @@
   /** The path that explains the request whose head is the body of the call. */
   static final String EXPLAIN = "/explain";
 
+  /** The path of the status. */
+  static final String STATUS = "/status";
+
+  private static final String JSON = "application/json";
+
   private final GatewayContext context;
   private final Explainer explainer;
+  private final StatusReporter reporter;
 
-  OperatorHandler(GatewayContext context) {
+  /**
+   * Creates the handler.
+   *
+   * @param context the state of the instance
+   * @param unready returns why the instance is not ready
+   */
+  OperatorHandler(GatewayContext context, Supplier<List<String>> unready) {
     this.context = context;
     explainer = new Explainer(context);
+    reporter = new StatusReporter(context, unready);
   }
 
   @Override
   public void requestReceived(CallerConnection connection, InboundRequest request) {
     if (request.target().equals(EXPLAIN)) {
       explain(connection, request.body());
+    } else if (request.target().equals(STATUS)) {
+      respond(connection, 200, JSON, Codec.json().write(reporter.status()));
     } else {
       respond(connection, 200, "text/plain; version=0.0.4", Hash.utf8(context.metrics().scrape()));
     }
@@ -45,7 +62,7 @@
       respond(connection, 400, "text/plain", Hash.utf8(String.valueOf(e.getMessage())));
       return;
     }
-    respond(connection, 200, "application/json", Codec.json().write(explanation));
+    respond(connection, 200, JSON, Codec.json().write(explanation));
   }
 
   private static void respond(
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaSelection.java
@@ -58,6 +58,9 @@
   /** Whether this request has been counted among those kept from evacuated domains. */
   private boolean isCountedAsKept;
 
+  /** Whether this request has been counted among those kept from cold replicas. */
+  private boolean isCountedAsKeptFromCold;
+
   ReplicaSelection(
       GatewayContext context,
       Optional<PromptShape> prompt,
@@ -262,6 +265,10 @@
     if (candidates.isAnyLimited()) {
       context.metrics().withheldFromStarted();
     }
+    if (!candidates.cold().isEmpty() && !isCountedAsKeptFromCold) {
+      isCountedAsKeptFromCold = true;
+      context.metrics().keptFromCold();
+    }
   }
 
   private void countEvacuated(Candidates candidates) {
@@ -279,20 +286,9 @@
    * @return the reason, or empty if it may get the request
    */
   Optional<Exclusion> exclusion(Replica replica, long now) {
-    if (replica.isLeaving()) {
-      return Optional.of(Exclusion.LEAVING);
-    }
-    String domain = replica.entry().domain();
-    if (!isHome(domain)) {
-      return Optional.of(Exclusion.OUTSIDE_HOMES);
-    }
-    if (!context.evacuations().mayReceive(domain)) {
-      return Optional.of(Exclusion.EVACUATED);
-    }
-    return replica
-        .exclusion(now)
-        .or(() -> context.cold().exclusion(replica, now))
-        .or(() -> context.paces().exclusion(replica, now));
+    return replica.isLeaving() || isHome(replica.entry().domain())
+        ? context.exclusion(replica, now)
+        : Optional.of(Exclusion.OUTSIDE_HOMES);
   }
 
   private boolean isHome(String domain) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ReplicaWatcher.java
@@ -41,7 +41,7 @@
     Set<String> ids = new HashSet<>();
     for (StoreObject value : values) {
       ids.add(value.name());
-      put(value, now);
+      put(value, changedAfter, now);
     }
     logUnusable();
     context
@@ -61,7 +61,7 @@
         Change change = context.replicas().remove(event.value().name(), now);
         context.logChange("replica-" + change.name(), event.value().name(), "removed");
       } else {
-        put(event.value(), now);
+        put(event.value(), changedAfter, now);
       }
     }
     logUnusable();
@@ -75,11 +75,15 @@
     unusableEntries = 0;
   }
 
-  private void put(StoreObject value, long nowMillis) {
+  private void put(StoreObject value, Moment changedAfter, long nowMillis) {
     switch (value) {
       case ReadableObject readable -> {
         try {
-          put(readable, SiteFormat.replica(readable.name(), readable.content()), nowMillis);
+          put(
+              readable,
+              SiteFormat.replica(readable.name(), readable.content()),
+              changedAfter,
+              nowMillis);
         } catch (IllegalArgumentException e) {
           unusable(readable, e.getMessage(), nowMillis);
         }
@@ -88,7 +92,7 @@
     }
   }
 
-  private void put(ReadableObject value, ReplicaEntry entry, long nowMillis) {
+  private void put(ReadableObject value, ReplicaEntry entry, Moment changedAfter, long nowMillis) {
     Replica before = context.replicas().find(entry.id());
     Map<String, Integer> weights = before == null ? Map.of() : before.entry().weightVersions();
     Change change = context.replicas().put(entry);
@@ -102,7 +106,9 @@
       } else if (isKnown && !weights.equals(entry.weightVersions())) {
         context.paces().begin(replica, "new weights", nowMillis);
       }
-      context.cold().entryRead(replica, isKnown, value.revision(), nowMillis);
+      long maxAge =
+          changedAfter.equals(Moment.DISTANT_PAST) ? -1 : changedAfter.ageMillis(Moment.now());
+      context.cold().entryRead(replica, isKnown, value.revision(), maxAge, nowMillis);
     }
     if (change == Change.FOREIGN) {
       unusable(value, "born: missing", nowMillis);
--- a/library/src/main/java/org/bulrushpier/site/Evacuations.java
+++ b/library/src/main/java/org/bulrushpier/site/Evacuations.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -63,6 +64,17 @@
     return areKnown() && !revisions.containsKey(domain);
   }
 
+  /**
+   * Returns the revision of the request that a domain be evacuated.
+   *
+   * @param domain the name of the domain
+   * @return the revision, or empty if the domain is not evacuated
+   */
+  public OptionalLong revision(String domain) {
+    Long revision = revisions.get(domain);
+    return revision == null ? OptionalLong.empty() : OptionalLong.of(revision);
+  }
+
   /** Returns the names of the evacuated domains. */
   public Set<String> domains() {
     return Set.copyOf(revisions.keySet());
