--- a/library/src/main/java/org/bulrushpier/fleet/PeerLoads.java
+++ b/library/src/main/java/org/bulrushpier/fleet/PeerLoads.java
@@ -29,11 +29,7 @@
    * @param copyTokens the tokens that the copies of runs occupy when the runs end
    */
   public record Total(
-      int requests,
-      long memoryTokens,
-      long pendingTokens,
-      long lessUrgentTokens,
-      long copyTokens) {
+      int requests, long memoryTokens, long pendingTokens, long lessUrgentTokens, long copyTokens) {
 
     /** No load. */
     public static final Total NONE = new Total(0, 0, 0, 0, 0);
@@ -127,8 +123,7 @@
       allTokens += load.pendingTokens(Integer.MAX_VALUE);
       copyTokens += load.copyTokens();
     }
-    return new Total(
-        requests, memoryTokens, pendingTokens, allTokens - pendingTokens, copyTokens);
+    return new Total(requests, memoryTokens, pendingTokens, allTokens - pendingTokens, copyTokens);
   }
 
   /** Returns the number of instances whose report is in use. */
