--- a/library/src/test/java/org/bulrushpier/placing/GroupedPlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/GroupedPlacementTest.java
@@ -70,7 +70,7 @@
   }
 
   private static UpstreamLoad load(String id, long tokens) {
-    return new UpstreamLoad(id, tokens == 0 ? 0 : 1, tokens, List.of(tokens));
+    return new UpstreamLoad(id, tokens == 0 ? 0 : 1, tokens, List.of(tokens), 0);
   }
 
   private Replica chosen() {
