A signal to a process reaches it although another of its name is started next

Seen: StoreReadersIntegrationTest failed once at load 25 (an instance was not ready within 60 s), and the launcher printed 'store-reader-1.pid: No such file' three times in another run. Cause: Launcher.start deleted the PID file at once, while the script, which handles orders one after the other, was still behind: the KILL before it found no PID. Processes of earlier tests lived on, some of them suspended. Change: the client waits for another PID in place of deleting the file. Whether the lost signals caused the failure above is not shown. LauncherIntegrationTest failed before (the earlier process was alive after 60 s) and passes now.

--- a/rig/src/main/java/org/bulrushpier/rig/site/Launcher.java
+++ b/rig/src/main/java/org/bulrushpier/rig/site/Launcher.java
@@ -1,7 +1,9 @@
 package org.bulrushpier.rig.site;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 
@@ -47,24 +49,32 @@
   }
 
   /**
-   * Starts a process and waits until its PID file exists.
+   * Starts a process and waits until its PID file exists. Signals sent before still go to an
+   * earlier process of that name, as the script handles its orders one after the other.
    *
    * @param name the process's name
    * @param command the main class and its arguments
    */
   public void start(String name, String command) {
-    try {
-      Files.deleteIfExists(pidFile(name));
-      send("start " + name + " " + command);
-      long deadline = System.currentTimeMillis() + START_TIMEOUT_MILLIS;
-      while (!Files.exists(pidFile(name))) {
-        if (System.currentTimeMillis() > deadline) {
-          throw new IllegalStateException("launcher did not start process " + name);
-        }
-        org.bulrushpier.rig.Faults.sleep(POLL_MILLIS);
+    String former = pidText(name);
+    send("start " + name + " " + command);
+    long deadline = System.currentTimeMillis() + START_TIMEOUT_MILLIS;
+    while (pidText(name).equals(former)) {
+      if (System.currentTimeMillis() > deadline) {
+        throw new IllegalStateException("launcher did not start process " + name);
       }
+      org.bulrushpier.rig.Faults.sleep(POLL_MILLIS);
+    }
+  }
+
+  /** Returns the content of a PID file, or an empty text without one. */
+  private String pidText(String name) {
+    try {
+      return Files.readString(pidFile(name));
+    } catch (NoSuchFileException e) {
+      return "";
     } catch (IOException e) {
-      throw new IllegalStateException(e);
+      throw new UncheckedIOException(e);
     }
   }
 
