--- a/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewayIntegrationTest.java
@@ -314,7 +314,7 @@
   /** Datagrams that are no messages are ignored, whoever sends them. */
   @Test
   void instancesFindEachOtherAndExchangeTheirLoad() throws Exception {
-    int port = FreePorts.next("127.0.0.1").port();
+    int port = FreePorts.nextAtHosts(2);
     Gateway first = Gateway.start(fleetSettings("127.0.0.1", port));
     Gateway second = Gateway.start(fleetSettings("127.0.0.2", port));
     try (DatagramSocket socket = new DatagramSocket()) {
--- a/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
+++ b/rig/src/test/java/org/bulrushpier/rig/GatewaySite.java
@@ -256,7 +256,7 @@
    * seed.
    */
   List<Instance> startInstances(int count) throws Exception {
-    int port = FreePorts.next("127.0.0.1").port();
+    int port = FreePorts.nextAtHosts(count);
     for (int i = 1; i <= count; i++) {
       instances.add(new Instance(settings("127.0.0." + i, port, "127.0.0.1")));
     }
@@ -269,7 +269,7 @@
 
   /** Starts two instances that reach the store but not each other. */
   List<Instance> startInstancesThatAreCutOff() throws Exception {
-    int port = FreePorts.next("127.0.0.1").port();
+    int port = FreePorts.nextAtHosts(2);
     for (int i = 1; i <= 2; i++) {
       instances.add(new Instance(settings("127.0.0." + i, port, "127.0.0.3")));
     }
--- a/rig/src/test/java/org/bulrushpier/rig/StoreReadersIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/StoreReadersIntegrationTest.java
@@ -74,7 +74,7 @@
     store = MetadataStoreFake.start();
     replaceKey();
     store.requestWeights(1);
-    int port = FreePorts.next("127.0.0.1").port();
+    int port = FreePorts.nextAtHosts(INSTANCES);
     for (int i = 1; i <= INSTANCES; i++) {
       start("store-reader-" + i, "127.0.0." + i, port);
     }
