--- a/daemon/src/main/java/org/bulrushpier/daemon/command/EntryOptions.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/command/EntryOptions.java
@@ -40,10 +40,15 @@
   }
 
   Reply call(OutgoingCall call) {
+    String header = "Bearer " + (key == null ? "" : key);
+    return send(call.withHeader("Authorization", header));
+  }
+
+  /** Sends a single call as it is. */
+  static Reply send(OutgoingCall call) {
     HttpCaller caller = HttpCaller.start();
     try {
-      String header = "Bearer " + (key == null ? "" : key);
-      return caller.call(call.withHeader("Authorization", header));
+      return caller.call(call);
     } finally {
       caller.stop();
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/command/ExplainCommand.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/command/ExplainCommand.java
@@ -12,7 +12,6 @@
 import org.bulrushpier.BulrushpierException;
 import org.bulrushpier.Codec;
 import org.bulrushpier.ErrorCode;
-import org.bulrushpier.daemon.http.HttpCaller;
 import org.bulrushpier.daemon.http.OutgoingCall;
 import org.bulrushpier.daemon.http.Reply;
 import org.bulrushpier.daemon.serve.Explanation;
@@ -89,7 +88,10 @@
 
   @Override
   public Integer call() throws IOException {
-    Reply reply = send(OutgoingCall.of("POST", Address.parse(gateway), "/explain"));
+    Reply reply =
+        EntryOptions.send(
+            OutgoingCall.of("POST", Address.parse(gateway), "/explain")
+                .withBody("text/plain", head().getBytes(StandardCharsets.ISO_8859_1)));
     if (!reply.isOk()) {
       throw BulrushpierException.notRun(
           ErrorCode.BAD_REQUEST, new String(reply.body(), StandardCharsets.UTF_8));
@@ -102,15 +104,6 @@
     return 0;
   }
 
-  private Reply send(OutgoingCall call) throws IOException {
-    HttpCaller caller = HttpCaller.start();
-    try {
-      return caller.call(call.withBody("text/plain", head().getBytes(StandardCharsets.ISO_8859_1)));
-    } finally {
-      caller.stop();
-    }
-  }
-
   /** Returns the head of the request with the empty line that ends it. */
   private String head() throws IOException {
     if (source.file != null) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/command/StatusCommand.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/command/StatusCommand.java
@@ -11,7 +11,6 @@
 import org.bulrushpier.Codec;
 import org.bulrushpier.ErrorCode;
 import org.bulrushpier.daemon.Status;
-import org.bulrushpier.daemon.http.HttpCaller;
 import org.bulrushpier.daemon.http.OutgoingCall;
 import org.bulrushpier.daemon.http.Reply;
 import org.bulrushpier.daemon.serve.GatewayStatus;
@@ -62,19 +61,14 @@
 
   /** Asks the gateway, which needs no key. */
   private Reply callGateway() {
-    HttpCaller caller = HttpCaller.start();
-    try {
-      Reply reply = caller.call(OutgoingCall.get(Address.parse(gateway), "/status"));
-      // Gateways of earlier releases answer any path with their metrics.
-      if (!reply.isOk() || !reply.header("content-type").equals("application/json")) {
-        throw BulrushpierException.notRun(
-            ErrorCode.BAD_REQUEST,
-            "no status of a gateway at %s (response status %d)".formatted(gateway, reply.status()));
-      }
-      return reply;
-    } finally {
-      caller.stop();
+    Reply reply = EntryOptions.send(OutgoingCall.get(Address.parse(gateway), "/status"));
+    // Gateways of earlier releases answer any path with their metrics.
+    if (!reply.isOk() || !reply.header("content-type").equals("application/json")) {
+      throw BulrushpierException.notRun(
+          ErrorCode.BAD_REQUEST,
+          "no status of a gateway at %s (response status %d)".formatted(gateway, reply.status()));
     }
+    return reply;
   }
 
   private static void print(Status status) {
