Show that parts of older weights are freed while they are fetched

The instance that ended a roll-out frees the parts 3 s later, also while it is cut off from the platform's store and cannot know of a replica that came back on older weights.

--- a/review/standins-2/src/Site.java
+++ b/review/standins-2/src/Site.java
@@ -58,7 +58,7 @@
     private final Path settings;
     Process process;
 
-    private Gateway(String name) throws IOException {
+    private Gateway(String name, String platform) throws IOException {
       this.name = name;
       callers = "127.0.0.1:" + freePort();
       ready = "127.0.0.1:" + freePort();
@@ -73,7 +73,7 @@
               "caller-address = " + callers,
               "ready-address = " + ready,
               "metrics-address = 127.0.0.1:" + freePort(),
-              "platform-address = " + store.address(),
+              "platform-address = " + platform,
               "fleet-address = 127.0.0.1:" + freePort(),
               "seeds = 127.0.0.1:1",
               "key-revocation-ms = 5000",
@@ -148,7 +148,11 @@
   }
 
   Gateway gateway(String name) throws IOException {
-    Gateway gateway = new Gateway(name);
+    return gateway(name, store.address());
+  }
+
+  Gateway gateway(String name, String platform) throws IOException {
+    Gateway gateway = new Gateway(name, platform);
     gateways.add(gateway);
     return gateway;
   }
--- a/review/standins-2/src/Store.java
+++ b/review/standins-2/src/Store.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -72,14 +73,69 @@
     return "{\"removed\":" + isRemoved + ",\"object\":" + object(name, revision, spec) + "}";
   }
 
+  /** The way of one machine to the store, which can be cut. */
+  final class Link implements AutoCloseable {
+    private final Http.Server server;
+    private volatile boolean isCut;
+
+    private Link() throws IOException {
+      server = new Http.Server(this::pass);
+    }
+
+    String address() {
+      return server.address();
+    }
+
+    void cut(boolean cut) {
+      isCut = cut;
+    }
+
+    private void pass(Http.Conn conn, Http.Head head) throws IOException {
+      if (!isCut) {
+        handle(conn, head, () -> isCut);
+      }
+      while (isCut) {
+        try {
+          Thread.sleep(20);
+        } catch (InterruptedException e) {
+          throw new IOException(e);
+        }
+      }
+    }
+
+    @Override
+    public void close() {
+      server.close();
+    }
+  }
+
+  Link link() throws IOException {
+    return new Link();
+  }
+
+  /** Returns the spec of an object, or an empty text. */
+  synchronized String spec(String kind, String name) {
+    Entry known = objects.get(kind + "/" + name);
+    return known == null ? "" : known.spec;
+  }
+
   private void handle(Http.Conn conn, Http.Head head) throws IOException {
+    handle(conn, head, () -> false);
+  }
+
+  private void handle(Http.Conn conn, Http.Head head, BooleanSupplier isCut) throws IOException {
     String body = new String(conn.readBody(head), StandardCharsets.UTF_8);
     String target = head.target();
     String path = target.split("\\?")[0].substring("/objects/".length());
     String kind = path.split("/")[0];
     Matcher watch = WATCH.matcher(target);
     if (head.method().equals("GET") && watch.find()) {
-      conn.respond(200, json(), watch(kind, number(watch, 1), number(watch, 2)));
+      String events = watch(kind, number(watch, 1), number(watch, 2));
+      if (isCut.getAsBoolean()) {
+        conn.close();
+      } else {
+        conn.respond(200, json(), events);
+      }
     } else if (head.method().equals("GET")) {
       Matcher after = AFTER.matcher(target);
       conn.respond(200, json(), list(kind, after.find() ? after.group(1) : ""));
