--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,7 +3,7 @@
 # out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 . bin/jdk.sh || exit 2
-[ -x target/gateway/runtime/bin/java ] && [ -f target/review-2/FractionalBound.class ] || exit 2
-timeout -k 5 110 "$JAVA_HOME/bin/java" -cp target/review-2 FractionalBound "$PWD" review/8/record.txt
+[ -x target/gateway/runtime/bin/java ] && [ -f target/review-2/BrokenStream.class ] || exit 2
+timeout -k 5 110 "$JAVA_HOME/bin/java" -cp target/review-2 BrokenStream "$PWD" review/8/record.txt
 CODE=$?
 case $CODE in 0 | 1) exit $CODE ;; *) exit 2 ;; esac
