--- a/review/standins-2/src/Site.java
+++ b/review/standins-2/src/Site.java
@@ -17,6 +17,7 @@
   private final Path root;
   private final Path folder;
   private final PrintWriter record;
+  private final int fleetPort = freePort();
   private final List<Gateway> gateways = new ArrayList<>();
 
   /**
@@ -44,12 +45,18 @@
             + String.format(Locale.ROOT, format, values));
   }
 
+  /** Returns a port that is free at the addresses of all machines. */
   static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0)) {
       return socket.getLocalPort();
     }
   }
 
+  /** Returns the address of a machine; all machines use the same port to find each other. */
+  private static String host(int machine) {
+    return "127.0.0." + (machine + 1);
+  }
+
   /** A gateway process, started with the line of the deploy file. */
   final class Gateway {
     final String name;
@@ -60,8 +67,9 @@
 
     private Gateway(String name, String platform) throws IOException {
       this.name = name;
-      callers = "127.0.0.1:" + freePort();
-      ready = "127.0.0.1:" + freePort();
+      String host = host(gateways.size());
+      callers = host + ":" + freePort();
+      ready = host + ":" + freePort();
       settings = folder.resolve(name + ".ini");
       Files.writeString(
           settings,
@@ -72,10 +80,10 @@
               "domain = lima-norte",
               "caller-address = " + callers,
               "ready-address = " + ready,
-              "metrics-address = 127.0.0.1:" + freePort(),
+              "metrics-address = " + host + ":" + freePort(),
               "platform-address = " + platform,
-              "fleet-address = 127.0.0.1:" + freePort(),
-              "seeds = 127.0.0.1:1",
+              "fleet-address = " + host + ":" + fleetPort,
+              "seeds = " + host(0) + ":" + fleetPort + "," + host(1) + ":" + fleetPort,
               "key-revocation-ms = 5000",
               "shutdown-seconds = 8",
               "retry-ratio = 0.2",
@@ -143,7 +151,7 @@
 
     void signal(String signal) throws Exception {
       log("%s gets SIG%s", name, signal);
-      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+      new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
     }
   }
 
