Parts of older weights are freed only after every fetch has ended

Cause: the release followed one instance's belief about engines, 3 s after the rollout; another instance may send fetches for most of the time allowed for a change, and nothing bounded a fetch by the release.

Change: each instance keeps two terms by itself (PartTerms). Releases are repeated, also by others than the last holder.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
@@ -2,12 +2,14 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.CallFormat;
 import org.bulrushpier.call.CallerRequest;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.daemon.net.InboundRequest;
 import org.bulrushpier.placing.CachePlanner;
+import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.placing.Placement;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.site.ConfiguredRoute;
@@ -98,6 +100,7 @@
           CachePlanner.planSaves(prompt.get(), salt, replica, selection.cacheStores(), beganMillis);
       replica.parts().add(salt, prompt.get().parts(), memoryTokens());
     }
+    OptionalLong fetchUntil = fetchUntil();
     return CallFormat.forwardedRequest(
         inbound.fields(),
         new CallFormat.AddedFields(
@@ -108,11 +111,10 @@
             prompt.isPresent() ? selection.priority() : -1,
             salt,
             weightVersion,
-            placement.cache().sources(),
-            context
-                .replicaClock()
-                .at(beganMillis + placement.maxFetchMillis(), beganMillis)
-                .orElse(-1),
+            fetchUntil.isEmpty() && isFetchFromManagedStore()
+                ? List.of()
+                : placement.cache().sources(),
+            fetchUntil.orElse(-1),
             cacheTargets,
             survival.order(replica, weightVersion),
             continuation.map(c -> c.holder().entry().address().toString()).orElse("")),
@@ -120,6 +122,35 @@
         inbound.body().length);
   }
 
+  /**
+   * Returns the time on the replicas' clock at which fetches end: before the parts may be freed, or
+   * earlier if they take too long.
+   */
+  private OptionalLong fetchUntil() {
+    OptionalLong planned =
+        context
+            .replicaClock()
+            .at(beganMillis + placement.maxFetchMillis(), MonotonicClock.millis());
+    if (planned.isEmpty() || !isFetchFromManagedStore()) {
+      return planned;
+    }
+    OptionalLong allowed =
+        context
+            .partTerms()
+            .fetchUntil(
+                prompt.map(PromptShape::model).orElse(""), weightVersion, MonotonicClock.millis());
+    return allowed.isPresent()
+        ? OptionalLong.of(Math.min(planned.getAsLong(), allowed.getAsLong()))
+        : OptionalLong.empty();
+  }
+
+  private boolean isFetchFromManagedStore() {
+    List<String> sources = placement.cache().sources();
+    return selection.cacheStores().stream()
+        .map(CacheStoreState::store)
+        .anyMatch(store -> store.isManaged() && sources.contains(store.address().toString()));
+  }
+
   private long memoryTokens() {
     return context
         .service(selection.service())
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -19,6 +19,7 @@
 import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.placing.EnginePlacement;
 import org.bulrushpier.placing.PlacementQueue;
+import org.bulrushpier.placing.PartTerms;
 import org.bulrushpier.placing.PlainPlacement;
 import org.bulrushpier.placing.PrefillRate;
 import org.bulrushpier.placing.ReplicaClock;
@@ -58,6 +59,7 @@
       WeightInquiry.of(weights, ThreadLocalRandom.current().nextLong());
   private final ReplicaClock replicaClock = new ReplicaClock();
   private final PrefillRate prefillRate = new PrefillRate();
+  private final PartTerms partTerms = PartTerms.of(replicaClock);
   private final PeerLoads peerLoads = new PeerLoads();
   private final LoadGroup loadGroup = new LoadGroup();
   private final EnginePlacement enginePlacement;
@@ -85,7 +87,8 @@
     this.settings = settings;
     String domain = settings.get().domain();
     SplittableRandom random = new SplittableRandom();
-    enginePlacement = EnginePlacement.of(domain, prefillRate, peerLoads, loadGroup, random);
+    enginePlacement =
+        EnginePlacement.of(domain, prefillRate, peerLoads, loadGroup, partTerms, random);
     plainPlacement = PlainPlacement.of(domain, peerLoads, loadGroup, random);
     upstreamPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     controlPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
@@ -189,6 +192,11 @@
   /** Returns the instances with which this one shares engines at a large site. */
   LoadGroup loadGroup() {
     return loadGroup;
+  /** Returns until when cached parts may be fetched, and from when on they may be freed. */
+  PartTerms partTerms() {
+    return partTerms;
+  }
+
   }
 
   EnginePlacement enginePlacement() {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -69,8 +69,20 @@
   /** How long an engine gets no requests while its weights are verified, in milliseconds. */
   private static final long VERIFY_PAUSE_MILLIS = 60;
 
-  /** Time after which no call for older weights can still fetch cache parts, in milliseconds. */
-  private static final long FREE_DELAY_MILLIS = 3_000;
+  /** The interval at which parts of older weights are looked for, in milliseconds. */
+  private static final long FREE_INTERVAL_MILLIS = 2_000;
+
+  /**
+   * How long parts of older weights are looked for, in milliseconds: a call may fail, and a save
+   * that was ordered before may end late.
+   */
+  private static final long FREE_PERIOD_MILLIS = 30_000;
+
+  /**
+   * How long other instances leave it to the last lease holder to free parts, in milliseconds. Up
+   * to the same time is added at random.
+   */
+  private static final long FREE_TAKEOVER_MILLIS = 5_000;
 
   /** How long an engine that did not answer is skipped, in milliseconds. */
   private static final long SKIP_MILLIS = 1_500;
@@ -98,6 +110,7 @@
       verify(replica);
     }
     context.unverified().clear();
+    context.partTerms().convert(Moment.now());
     for (String model : context.weights().models()) {
       rollouts.computeIfAbsent(model, Rollout::new).step(isLeaving);
     }
@@ -196,7 +209,7 @@
     }
   }
 
-  /** Frees cache parts of older weights, which no call can use any more, in managed stores. */
+  /** Frees cache parts of older weights, which no call can fetch any more, in managed stores. */
   private void freeOlder(String model, int version) {
     for (CacheStoreState state : context.cacheStores()) {
       List<CacheFormat.CachedPart> parts = new ArrayList<>();
@@ -223,6 +236,10 @@
                           "parts-freed",
                           "store",
                           name,
+                          "model",
+                          model,
+                          "olderThan",
+                          version,
                           "parts",
                           parts.size(),
                           "status",
@@ -241,7 +258,11 @@
     private final Set<String> announced = new HashSet<>();
 
     private long nextWriteMillis = Long.MIN_VALUE;
-    private long freeAtMillis = -1;
+    private final long freeTakeoverMillis =
+        FREE_TAKEOVER_MILLIS + ThreadLocalRandom.current().nextLong(FREE_TAKEOVER_MILLIS);
+    private long nextFreeMillis = Long.MIN_VALUE;
+    private long freeUntilMillis = Long.MIN_VALUE;
+    private int oldestKept;
     private boolean isWriting;
     private boolean isRecordDue;
     private long recordedMillis = Long.MIN_VALUE / 2;
@@ -297,16 +318,13 @@
       boolean isBehind =
           engines.stream().anyMatch(engine -> engine.version(model) < target.version());
       Moment now = Moment.now();
+      context.partTerms().requested(model, target.version(), now.monotonicMillis());
+      freeOutdatedParts(now.monotonicMillis());
       if (!isBehind && changing.isEmpty()) {
         release(target.version(), engines);
         takeoverAtMillis = -1;
-        if (freeAtMillis > 0 && now.monotonicMillis() >= freeAtMillis) {
-          freeAtMillis = -1;
-          freeOlder(model, target.version());
-        }
         return;
       }
-      freeAtMillis = -1;
       if (isWriting || now.monotonicMillis() < nextWriteMillis) {
         return;
       }
@@ -327,6 +345,33 @@
       pollChanging(target);
     }
 
+    /**
+     * Frees parts whose term is over. Neither the lease nor what is known of engines and other
+     * instances matters for that; the last holder goes first so that one instance does it.
+     */
+    private void freeOutdatedParts(long nowMillis) {
+      if (nowMillis < nextFreeMillis) {
+        return;
+      }
+      nextFreeMillis = nowMillis + FREE_INTERVAL_MILLIS;
+      long delay = wasLastHolder() ? 0 : freeTakeoverMillis;
+      int oldest = context.partTerms().oldestKept(model, delay, nowMillis);
+      if (oldest > oldestKept) {
+        oldestKept = oldest;
+        freeUntilMillis = nowMillis + FREE_PERIOD_MILLIS;
+      }
+      if (nowMillis < freeUntilMillis) {
+        freeOlder(model, oldestKept);
+      }
+    }
+
+    private boolean wasLastHolder() {
+      return lease
+          .record()
+          .map(record -> record.holder().equals(context.settings().name()))
+          .orElse(false);
+    }
+
     private int outdatedEngines() {
       int version = context.weights().target(model).version();
       return (int) engines().stream().filter(engine -> engine.version(model) < version).count();
@@ -347,11 +392,7 @@
       if (!lease.mayTake(now)) {
         return;
       }
-      boolean wasHolder =
-          lease
-              .record()
-              .map(record -> record.holder().equals(context.settings().name()))
-              .orElse(false);
+      boolean wasHolder = wasLastHolder();
       if (!wasHolder && (takeoverAtMillis < 0 || takeoverVersion != target.version())) {
         takeoverVersion = target.version();
         takeoverAtMillis =
@@ -372,7 +413,6 @@
 
     private void release(int version, List<Replica> engines) {
       if (lease.isHeld() && !isWriting) {
-        freeAtMillis = MonotonicClock.millis() + FREE_DELAY_MILLIS;
         write(version, engines, true);
       }
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WeightsWatcher.java
@@ -1,8 +1,10 @@
 package org.bulrushpier.daemon.serve;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.bulrushpier.Moment;
 import org.bulrushpier.adapter.SiteFormat;
 import org.bulrushpier.adapter.StoreFormat;
@@ -25,6 +27,9 @@
   /** The newest version of each model that the store has returned. */
   private final Map<String, Integer> newest = new HashMap<>();
 
+  /** The models whose stored version cannot be read, so that the known one may be outdated. */
+  private final Set<String> unreadable = new HashSet<>();
+
   private boolean isUnavailable;
 
   WeightsWatcher(GatewayContext context) {
@@ -37,25 +42,50 @@
     String source = context.weights().isListed() ? "list" : "first list";
     values.forEach(value -> accept(value, source, changedAfter));
     context.weights().markListed();
+    confirm(sent);
   }
 
   @Override
   public void changed(List<Event> events, Moment sent, Moment changedAfter) {
     logRecovery(changedAfter);
     events.forEach(event -> accept(event.value(), "watch", changedAfter));
+    confirm(sent);
+  }
+
+  /** Prolongs the time for which parts may be fetched, as all requested versions are known. */
+  private void confirm(Moment proven) {
+    Moment now = Moment.now();
+    TargetWeights weights = context.weights();
+    weights
+        .models()
+        .forEach(
+            model ->
+                context
+                    .partTerms()
+                    .requested(model, weights.target(model).version(), now.monotonicMillis()));
+    if (unreadable.isEmpty()) {
+      context.partTerms().confirmed(proven, now);
+    }
+  }
+
+  private void unreadable(String name, String defect) {
+    if (context.weights().models().contains(name)) {
+      unreadable.add(name);
+    }
+    context.logChange("weights-unreadable", name, defect);
   }
 
   private void accept(StoreObject value, String source, Moment notBefore) {
     switch (value) {
       case ReadableObject readable -> accept(readable, source, notBefore);
-      case UnreadableObject unreadable ->
-          context.logChange("weights-unreadable", unreadable.name(), unreadable.defect());
+      case UnreadableObject odd -> unreadable(odd.name(), odd.defect());
     }
   }
 
   private void accept(ReadableObject value, String source, Moment notBefore) {
     try {
       SiteFormat.RequestedWeights requested = SiteFormat.weights(value.name(), value.content());
+      unreadable.remove(value.name());
       RequestInterval interval = new RequestInterval(notBefore, Moment.now());
       if (isNew(requested)) {
         TargetWeights weights = context.weights();
@@ -76,7 +106,7 @@
                 interval.isDated() ? notBefore.ageMillis(interval.notAfter()) : -1);
       }
     } catch (IllegalArgumentException e) {
-      context.logChange("weights-unreadable", value.name(), e.getMessage());
+      unreadable(value.name(), e.getMessage());
     }
   }
 
--- a/library/src/main/java/org/bulrushpier/placing/CachedParts.java
+++ b/library/src/main/java/org/bulrushpier/placing/CachedParts.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.placing;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -54,8 +55,9 @@
    */
   public Map<String, List<String>> idsBySalt(Predicate<String> salts) {
     Map<String, List<String>> ids = new LinkedHashMap<>();
+    Map<String, Boolean> selected = new HashMap<>();
     for (Key key : tokens.keySet()) {
-      if (salts.test(key.salt())) {
+      if (selected.computeIfAbsent(key.salt(), salts::test)) {
         ids.computeIfAbsent(key.salt(), salt -> new ArrayList<>()).add(key.id());
       }
     }
--- a/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
+++ b/library/src/main/java/org/bulrushpier/placing/EnginePlacement.java
@@ -136,15 +136,22 @@
   private final PrefillRate rate;
   private final PeerLoads peers;
   private final LoadGroup group;
+  private final FetchBound fetchBound;
   private final RandomGenerator random;
   private final RequestSizes sizes = new RequestSizes();
 
   private EnginePlacement(
-      String domain, PrefillRate rate, PeerLoads peers, LoadGroup group, RandomGenerator random) {
+      String domain,
+      PrefillRate rate,
+      PeerLoads peers,
+      LoadGroup group,
+      FetchBound fetchBound,
+      RandomGenerator random) {
     this.domain = domain;
     this.rate = rate;
     this.peers = peers;
     this.group = group;
+    this.fetchBound = fetchBound;
     this.random = random;
   }
 
@@ -157,7 +164,7 @@
    * @return the policy
    */
   public static EnginePlacement of(String domain, PrefillRate rate, PeerLoads peers) {
-    return of(domain, rate, peers, new LoadGroup(), RandomGenerator.getDefault());
+    return of(domain, rate, peers, new LoadGroup(), FetchBound.NONE, RandomGenerator.getDefault());
   }
 
   /**
@@ -167,12 +174,18 @@
    * @param rate the learned prefill rate
    * @param peers the load of the other instances
    * @param group the instances with which this one shares engines
+   * @param fetchBound whether parts may be fetched from stores that free them when told to
    * @param random the source of randomness
    * @return the policy
    */
   public static EnginePlacement of(
-      String domain, PrefillRate rate, PeerLoads peers, LoadGroup group, RandomGenerator random) {
-    return new EnginePlacement(domain, rate, peers, group, random);
+      String domain,
+      PrefillRate rate,
+      PeerLoads peers,
+      LoadGroup group,
+      FetchBound fetchBound,
+      RandomGenerator random) {
+    return new EnginePlacement(domain, rate, peers, group, fetchBound, random);
   }
 
   /**
@@ -323,7 +336,8 @@
       String salt = salts.apply(version);
       PartSources versionSources =
           sources.computeIfAbsent(
-              version, v -> PartSources.of(prompt.parts(), salt, stores, nowMillis));
+              version,
+              v -> PartSources.of(prompt.parts(), salt, fetchableStores(version), nowMillis));
       CachePlan plan = CachePlanner.plan(prompt, salt, service, engine, versionSources);
       double duration = engine.workDurationFactor(nowMillis);
       double wait = isGrouped ? waits.get(engine.entry().id()) : predictWait(engine);
@@ -339,6 +353,12 @@
       return new EngineEstimate(
           engine, plan, version, weights.allows(version, millis), wait, own, fault, cost);
     }
+
+    private Collection<CacheStoreState> fetchableStores(int version) {
+      return fetchBound.mayFetch(prompt.model(), version, nowMillis)
+          ? stores
+          : stores.stream().filter(store -> !store.store().isManaged()).toList();
+    }
   }
 
   /**
--- a/library/src/test/java/org/bulrushpier/placing/FleetSimulation.java
+++ b/library/src/test/java/org/bulrushpier/placing/FleetSimulation.java
@@ -139,7 +139,8 @@
     Instance(int index) {
       this.index = index;
       this.address = new Address("10.0.0." + index, 1);
-      placement = EnginePlacement.of(domain(index), rate, peers, group, new Random(index));
+      placement =
+          EnginePlacement.of(domain(index), rate, peers, group, FetchBound.NONE, new Random(index));
       for (int i = 0; i < site.engines; i++) {
         replicas.add(Engines.engine("e" + i, domain(i)));
       }
--- a/library/src/test/java/org/bulrushpier/placing/GroupedPlacementTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/GroupedPlacementTest.java
@@ -36,7 +36,7 @@
   private final PeerLoads peers = new PeerLoads();
   private final LoadGroup group = new LoadGroup();
   private final EnginePlacement placement =
-      EnginePlacement.of("norte", new PrefillRate(), peers, group, new Random(7));
+      EnginePlacement.of("norte", new PrefillRate(), peers, group, FetchBound.NONE, new Random(7));
   private final List<Replica> engines = new ArrayList<>();
 
   GroupedPlacementTest() {
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/CacheStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/CacheStoreFake.java
@@ -8,8 +8,9 @@
 import org.bulrushpier.Address;
 
 /**
- * Fake cache store of the users' platform. It holds one cache part, answers long polls immediately
- * and can be overloaded, in which case it answers 429.
+ * Fake cache store of the users' platform. It holds one cache part until that is freed, answers
+ * long polls immediately and can be overloaded, in which case it answers 429. The clock that it
+ * shares with replicas is the wall clock.
  *
  * <p>Thread-safe.
  */
@@ -19,11 +20,14 @@
 
   private final RawHttpServer server;
   private final String heldPart;
+  private final String freedPart;
   private final AtomicBoolean isOverloaded = new AtomicBoolean();
   private final AtomicInteger refused = new AtomicInteger();
+  private volatile long freedMillis;
 
   private CacheStoreFake(String salt, String part, int tokens) throws IOException {
     heldPart = "\"%s\",\"%s\",%d,\"m0\"".formatted(salt, part, tokens);
+    freedPart = "\"%s\",\"%s\",0,\"m0\"".formatted(salt, part);
     server = new RawHttpServer(this::handle);
   }
 
@@ -63,18 +67,38 @@
     return refused.get();
   }
 
+  /**
+   * Returns when the part was freed.
+   *
+   * @return the time on the store's clock, in milliseconds, or 0 if the part is held
+   */
+  public long freedMillis() {
+    return freedMillis;
+  }
+
   private boolean handle(RawHttpServer.Request request, Socket socket) throws IOException {
     if (isOverloaded.get()) {
       refused.incrementAndGet();
       return RawHttpServer.sendJson(socket, TOO_MANY_REQUESTS, "{}");
     }
-    String body =
+    if (request.path().equals("/kv-free")) {
+      freedMillis = freedMillis == 0 ? System.currentTimeMillis() : freedMillis;
+      return RawHttpServer.sendJson(socket, 200, "{}");
+    }
+    boolean isHeld = freedMillis == 0;
+    String state =
         request.path().equals("/kv-list")
-            ? "{\"boot_epoch\":7,\"next_token\":1,\"held\":[[" + heldPart + "]]}"
-            : "{\"boot_epoch\":7,\"next_token\":1,\"lost\":false,\"events\":[[1,\"+\","
-                + heldPart
-                + "]]}";
-    return RawHttpServer.sendJson(socket, 200, body);
+            ? "\"held\":[" + (isHeld ? "[" + heldPart + "]" : "") + "]"
+            : "\"lost\":false,\"events\":[[1,\""
+                + (isHeld ? "+" : "-")
+                + "\","
+                + (isHeld ? heldPart : freedPart)
+                + "]]";
+    return RawHttpServer.sendJson(
+        socket,
+        200,
+        "{\"boot_epoch\":7,\"next_token\":1,\"clock_ms\":%d,%s}"
+            .formatted(System.currentTimeMillis(), state));
   }
 
   @Override
