No figure of the settings keeps a process from starting

Cause: some figures were read as whole numbers, and any finding ended a starting process. The platform writes whole numbers, fractions, true, false or nothing.

Change: only the name and the addresses are needed to start. A figure beyond a limit is replaced by the limit, one that is none by its default.

--- a/daemon/src/main/java/org/bulrushpier/daemon/command/StatusCommand.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/command/StatusCommand.java
@@ -17,6 +17,7 @@
 import org.bulrushpier.daemon.serve.GatewayStatus.EvacuationsStatus;
 import org.bulrushpier.daemon.serve.GatewayStatus.ReplicaStatus;
 import org.bulrushpier.daemon.serve.GatewayStatus.ReplicasStatus;
+import org.bulrushpier.daemon.serve.GatewayStatus.SettingsStatus;
 import org.bulrushpier.daemon.serve.GatewayStatus.WeightsStatus;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -107,6 +108,7 @@
         status.instance(),
         status.domain(),
         status.unready().isEmpty() ? "ready" : "not ready: " + String.join("; ", status.unready()));
+    print(status.settings());
     System.out.println(
         status.configuration().version() == GatewayStatus.UNKNOWN
             ? "configuration: not known"
@@ -118,6 +120,13 @@
     print(status.replicas());
   }
 
+  private static void print(SettingsStatus settings) {
+    if (settings.isRejected()) {
+      System.out.println("settings file: REJECTED, the instance will not start with it");
+    }
+    settings.findings().forEach(finding -> System.out.println("settings finding " + finding));
+  }
+
   private static void print(WeightsStatus weights) {
     if (!weights.isKnown()) {
       System.out.println("requested weights: not known");
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -161,6 +161,18 @@
             "Bytes that callers have not read yet",
             () -> loop.budget().unread());
     context.metrics().gauge("bulrushpier.requests.running", "Requests under way", exchanges::size);
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.settings.rejected",
+            "1 if the process would not start with the settings file as it is",
+            () -> context.settingsStatus().isRejected() ? 1 : 0);
+    context
+        .metrics()
+        .gauge(
+            "bulrushpier.settings.findings",
+            "Errors in the settings file",
+            () -> context.settingsStatus().findings().size());
     context
         .metrics()
         .gauge(
@@ -243,6 +255,7 @@
    * @param file the file
    */
   public void watchSettings(SettingsFile file) {
+    loop.run(() -> context.recordSettings(file.status()));
     loop.after(
         SETTINGS_POLL_MILLIS,
         () -> {
@@ -260,6 +273,7 @@
     loop.run(
         () -> {
           GatewaySettings newer = file.reread();
+          context.recordSettings(file.status());
           if (newer != null) {
             settings = newer;
             if (fleet != null) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -13,13 +13,14 @@
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
+import org.bulrushpier.daemon.serve.GatewayStatus.SettingsStatus;
 import org.bulrushpier.fleet.LoadGroup;
 import org.bulrushpier.fleet.PeerLoads;
 import org.bulrushpier.limit.SlidingWindowRetryBudget;
 import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.placing.EnginePlacement;
-import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.PartTerms;
+import org.bulrushpier.placing.PlacementQueue;
 import org.bulrushpier.placing.PlainPlacement;
 import org.bulrushpier.placing.PrefillRate;
 import org.bulrushpier.placing.ReplicaClock;
@@ -58,8 +59,8 @@
   private final WeightInquiry weightInquiry =
       WeightInquiry.of(weights, ThreadLocalRandom.current().nextLong());
   private final ReplicaClock replicaClock = new ReplicaClock();
-  private final PrefillRate prefillRate = new PrefillRate();
   private final PartTerms partTerms = PartTerms.of(replicaClock);
+  private final PrefillRate prefillRate = new PrefillRate();
   private final PeerLoads peerLoads = new PeerLoads();
   private final LoadGroup loadGroup = new LoadGroup();
   private final EnginePlacement enginePlacement;
@@ -78,6 +79,7 @@
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, PlacementQueue<QueueWait>> placementQueues = new HashMap<>();
   private final StallDetector stalls = new StallDetector();
+  private SettingsStatus settingsStatus = SettingsStatus.SOUND;
   private int liveInstances = 1;
   private int mostInstances = 1;
   private long configurationChangedMillis = MonotonicClock.millis();
@@ -105,6 +107,16 @@
     return settings.get();
   }
 
+  /** Returns what was found in the settings file when it was last read. */
+  SettingsStatus settingsStatus() {
+    return settingsStatus;
+  }
+
+  /** Records what was found in the settings file. */
+  void recordSettings(SettingsStatus status) {
+    settingsStatus = status;
+  }
+
   /** Returns the bounds on the age of the configuration according to the settings in force. */
   KeyFreshness keyFreshness() {
     return KeyFreshness.of(settings().keyRevocationMillis());
@@ -180,6 +192,11 @@
     return replicaClock;
   }
 
+  /** Returns until when cached parts may be fetched, and from when on they may be freed. */
+  PartTerms partTerms() {
+    return partTerms;
+  }
+
   PrefillRate prefillRate() {
     return prefillRate;
   }
@@ -192,11 +209,6 @@
   /** Returns the instances with which this one shares engines at a large site. */
   LoadGroup loadGroup() {
     return loadGroup;
-  /** Returns until when cached parts may be fetched, and from when on they may be freed. */
-  PartTerms partTerms() {
-    return partTerms;
-  }
-
   }
 
   EnginePlacement enginePlacement() {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayStatus.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayStatus.java
@@ -12,6 +12,7 @@
  * @param instance the name of the instance
  * @param domain its failure domain
  * @param unready why the instance is not ready; empty if it is
+ * @param settings what was found in the settings file; none in a status of an older release
  * @param configuration the configuration
  * @param weights the weights that operators request
  * @param evacuations the failure domains that get no requests
@@ -21,6 +22,7 @@
     String instance,
     String domain,
     List<String> unready,
+    SettingsStatus settings,
     ConfigurationStatus configuration,
     WeightsStatus weights,
     EvacuationsStatus evacuations,
@@ -32,6 +34,25 @@
   /** Copies the list. */
   public GatewayStatus {
     unready = List.copyOf(unready);
+    settings = settings == null ? SettingsStatus.SOUND : settings;
+  }
+
+  /**
+   * The settings file as it was last read.
+   *
+   * @param isRejected whether the file cannot be used: the settings in force are older, and the
+   *     process will not start with it
+   * @param findings the errors in it, each with its place
+   */
+  public record SettingsStatus(boolean isRejected, List<String> findings) {
+
+    /** A file without findings. */
+    public static final SettingsStatus SOUND = new SettingsStatus(false, List.of());
+
+    /** Copies the list. */
+    public SettingsStatus {
+      findings = List.copyOf(findings);
+    }
   }
 
   /**
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/SettingsFile.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/SettingsFile.java
@@ -5,7 +5,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.bulrushpier.Finding;
+import org.bulrushpier.daemon.serve.GatewayStatus.SettingsStatus;
 import org.bulrushpier.settings.GatewaySettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,7 +15,8 @@
 /**
  * The settings file of a gateway, which is read again when it changes.
  *
- * <p>If the file cannot be read or has findings, the settings in force are kept. Not thread-safe;
+ * <p>If the file cannot be read or names no usable addresses, the settings in force are kept. The
+ * process could not start with such a file, so its state is told to operators. Not thread-safe;
  * used by one thread at a time.
  */
 public final class SettingsFile {
@@ -22,6 +25,7 @@
 
   private final Path file;
   private String text;
+  private SettingsStatus status = SettingsStatus.SOUND;
 
   private SettingsFile(Path file, String text) {
     this.file = file;
@@ -40,19 +44,30 @@
   }
 
   /**
-   * Parses the text that was read last.
+   * Parses the text that was read last, and logs values in whose place others are used.
    *
-   * @param findings receives the errors found
+   * @param findings receives the errors with which no process can run
    * @return the settings, to be used only if no finding was added
    */
   public GatewaySettings parse(List<Finding> findings) {
-    return GatewaySettings.parse(file.toString(), text, findings);
+    List<Finding> tolerated = new ArrayList<>();
+    GatewaySettings settings = GatewaySettings.parse(file.toString(), text, findings, tolerated);
+    List<String> all =
+        Stream.concat(findings.stream(), tolerated.stream()).map(Finding::toString).toList();
+    all.forEach(finding -> log.atWarn().addKeyValue("finding", finding).log("settings-finding"));
+    status = new SettingsStatus(!findings.isEmpty(), all);
+    return settings;
+  }
+
+  /** Returns what was found in the text that was read last. */
+  SettingsStatus status() {
+    return status;
   }
 
   /**
    * Reads the file again.
    *
-   * @return the new settings, or null if the text is unchanged, unreadable or has findings
+   * @return the new settings, or null if the text is unchanged, or unreadable or unusable
    */
   public GatewaySettings reread() {
     try {
@@ -63,11 +78,12 @@
       text = current;
       List<Finding> findings = new ArrayList<>();
       GatewaySettings settings = parse(findings);
-      findings.forEach(
-          finding -> log.atWarn().addKeyValue("finding", finding).log("settings-finding"));
       return findings.isEmpty() ? settings : null;
     } catch (IOException e) {
       log.atWarn().addKeyValue("detail", e.getMessage()).log("settings-unreadable");
+      status = new SettingsStatus(true, List.of("unreadable: " + e.getMessage()));
+      // The text that was read before may be there again next time.
+      text = "";
       return null;
     }
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StatusReporter.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StatusReporter.java
@@ -53,6 +53,7 @@
         context.settings().name(),
         context.settings().domain(),
         unready.get(),
+        context.settingsStatus(),
         configuration(now),
         weights(now),
         evacuations(now),
--- a/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
+++ b/library/src/main/java/org/bulrushpier/settings/GatewaySettings.java
@@ -11,7 +11,9 @@
 /**
  * The settings of a gateway process, which is an entry that serves on the users' platform.
  *
- * <p>Read from an INI file that the platform generates. Immutable and thread-safe.
+ * <p>Read from an INI file that the platform generates from its own figures. Only what the process
+ * cannot run without, its name and addresses, keeps it from starting: a figure that cannot be used
+ * is replaced and reported. Immutable and thread-safe.
  *
  * @param name the name of the instance
  * @param domain the name of its failure domain
@@ -66,6 +68,10 @@
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final long MAX_MILLIS = 3_600_000;
   private static final long MAX_SECONDS = 3_600;
+
+  /** The time for an evacuation if the platform asks for evacuations without a usable time. */
+  private static final long EVACUATION_MILLIS = 5_000;
+
   private static final double MAX_RETRIES = 1_000_000;
   private static final double MAX_COLD_OVERAGE = 100;
   private static final double MAX_COLD_SLACK = 10_000;
@@ -86,9 +92,24 @@
    * @return the settings, or null if the section is missing; valid only if no finding was added
    */
   public static GatewaySettings parse(String file, String text, List<Finding> findings) {
+    return parse(file, text, findings, findings);
+  }
+
+  /**
+   * Parses the text of a settings file that other software has written.
+   *
+   * @param file the name of the file, for findings
+   * @param text the INI text
+   * @param findings the list to which errors are added with which no process can run
+   * @param tolerated the list to which errors are added in whose place other values are used
+   * @return the settings, or null if the section is missing; valid only if no finding was added to
+   *     the first list
+   */
+  public static GatewaySettings parse(
+      String file, String text, List<Finding> findings, List<Finding> tolerated) {
     GatewaySettings settings = null;
     for (IniSection section : new IniReader(file, findings).read(text)) {
-      SectionReader reader = new SectionReader(file, section, findings);
+      SectionReader reader = new SectionReader(file, section, findings, tolerated);
       if (section.kind().equals("gateway")) {
         settings = readGateway(reader);
       } else {
@@ -114,12 +135,13 @@
   /** Reads the regions of the failure domains, a list of {@code domain:region}. */
   private static Map<String, String> domainRegions(SectionReader reader) {
     Map<String, String> regions = new HashMap<>();
-    for (String entry : reader.optional("domain-regions", "").split(",")) {
+    for (String entry : reader.textOrEmpty("domain-regions").split(",")) {
       String[] names = entry.strip().split(":", -1);
-      if (names.length == 2 && !names[0].isEmpty() && !names[1].isEmpty()) {
+      boolean isPair = names.length == 2 && !names[0].isEmpty();
+      if (isPair && !names[1].isEmpty()) {
         regions.put(names[0], names[1]);
-      } else if (!entry.isBlank()) {
-        reader.addFinding("domain-regions", "'" + entry.strip() + "' is not domain:region");
+      } else if (!isPair && !entry.isBlank()) {
+        reader.tolerate("domain-regions", "'" + entry.strip() + "' is not domain:region");
       }
     }
     return regions;
@@ -136,18 +158,18 @@
         reader.address("platform-address"),
         fleetAddress,
         seeds(reader, fleetAddress),
-        reader.integer("key-revocation-ms", 1, MAX_MILLIS, 5_000),
-        MILLIS_PER_SECOND * reader.integer("shutdown-seconds", 1, MAX_SECONDS, 8),
-        reader.decimal("retry-ratio", 0, 1, 0.2),
-        reader.decimal("retry-minimum", 0, MAX_RETRIES, 0),
-        MILLIS_PER_SECOND * reader.integer("retry-window-seconds", 1, MAX_SECONDS, 10),
-        reader.integer("order-lease-ms", 1, MAX_MILLIS, 3_000),
-        reader.integer("weights-change-ms", 1, MAX_MILLIS, 8_000),
-        reader.integer("evacuation-ms", 0, MAX_MILLIS, 0),
-        reader.decimal("cold-overage", 0, MAX_COLD_OVERAGE, 1),
-        reader.decimal("cold-slack", 0, MAX_COLD_SLACK, 0),
-        (int) reader.integer("store-readers", 0, MAX_STORE_READERS, 0),
-        reader.optional("region", ""),
+        reader.millis("key-revocation-ms", 1, MAX_MILLIS, 5_000, 5_000),
+        reader.millis("shutdown-seconds", MILLIS_PER_SECOND, MAX_SECONDS, 8, 8),
+        reader.figure("retry-ratio", 0, 1, 0.2),
+        reader.figure("retry-minimum", 0, MAX_RETRIES, 0),
+        reader.millis("retry-window-seconds", MILLIS_PER_SECOND, MAX_SECONDS, 10, 10),
+        reader.millis("order-lease-ms", 1, MAX_MILLIS, 3_000, 3_000),
+        reader.millis("weights-change-ms", 1, MAX_MILLIS, 8_000, 8_000),
+        Math.round(reader.figure("evacuation-ms", 0, MAX_MILLIS, 0, EVACUATION_MILLIS)),
+        reader.figure("cold-overage", 0, MAX_COLD_OVERAGE, 1),
+        reader.figure("cold-slack", 0, MAX_COLD_SLACK, 0),
+        (int) Math.round(reader.figure("store-readers", 0, MAX_STORE_READERS, 0)),
+        reader.textOrEmpty("region"),
         domainRegions(reader),
         reader.yesOrNo("pace-started-replicas", false));
   }
--- a/library/src/main/java/org/bulrushpier/settings/SectionReader.java
+++ b/library/src/main/java/org/bulrushpier/settings/SectionReader.java
@@ -22,12 +22,24 @@
   private final String file;
   private final IniSection section;
   private final List<Finding> findings;
+  private final List<Finding> tolerated;
   private final Set<String> knownKeys = new HashSet<>();
 
   SectionReader(String file, IniSection section, List<Finding> findings) {
+    this(file, section, findings, findings);
+  }
+
+  /**
+   * Creates a reader.
+   *
+   * @param findings the list to which errors are added
+   * @param tolerated the list to which errors are added in whose place another value is used
+   */
+  SectionReader(String file, IniSection section, List<Finding> findings, List<Finding> tolerated) {
     this.file = file;
     this.section = section;
     this.findings = findings;
+    this.tolerated = tolerated;
   }
 
   String name() {
@@ -86,6 +98,55 @@
     return defaultValue;
   }
 
+  /** Returns a text of which an empty value is as good as none. */
+  String textOrEmpty(String key) {
+    knownKeys.add(key);
+    return section.values().getOrDefault(key, "");
+  }
+
+  /**
+   * Reads a figure that other software writes. A process must start with whatever it finds, so a
+   * figure out of bounds is replaced by the nearest bound, and one that is no positive number by a
+   * fixed one.
+   *
+   * @param key the key
+   * @param min the smallest value, at least 0
+   * @param max the largest value
+   * @param absent the value if the key is missing or empty
+   * @param unusable the value in place of one that is no figure
+   */
+  double figure(String key, double min, double max, double absent, double unusable) {
+    String value = textOrEmpty(key);
+    if (value.isEmpty()) {
+      return absent;
+    }
+    double number;
+    try {
+      number = Double.parseDouble(value);
+    } catch (NumberFormatException e) {
+      number = Double.NaN;
+    }
+    if (!(number >= 0)) {
+      tolerate(key, "'" + value + "' is not a figure; " + unusable + " is used");
+      return unusable;
+    }
+    double usable = Math.clamp(number, min, max);
+    if (usable != number) {
+      tolerate(key, value + " is not within " + min + ".." + max + "; " + usable + " is used");
+    }
+    return usable;
+  }
+
+  /** Reads a figure whose value is the same if it is missing or no figure. */
+  double figure(String key, double min, double max, double defaultValue) {
+    return figure(key, min, max, defaultValue, defaultValue);
+  }
+
+  /** Reads a duration, a figure in units of so many milliseconds. */
+  long millis(String key, long unitMillis, double max, double absent, double unusable) {
+    return Math.max(1, Math.round(unitMillis * figure(key, 0, max, absent, unusable)));
+  }
+
   boolean yesOrNo(String key, boolean defaultValue) {
     String value = optional(key, defaultValue ? "yes" : "no").toLowerCase(Locale.ROOT);
     if (!value.equals("yes") && !value.equals("no")) {
@@ -112,7 +173,7 @@
     return section.values().containsKey(key) ? Optional.of(address(key)) : Optional.empty();
   }
 
-  /** Returns a list of addresses that are separated by commas and may be empty. */
+  /** Returns a list of addresses that are separated by commas; unreadable ones are left out. */
   List<Address> addresses(String key) {
     List<Address> addresses = new ArrayList<>();
     knownKeys.add(key);
@@ -121,7 +182,7 @@
         try {
           addresses.add(Address.parse(text.strip()));
         } catch (IllegalArgumentException e) {
-          addFinding(key, e.getMessage());
+          tolerate(key, e.getMessage());
         }
       }
     }
@@ -138,8 +199,17 @@
   }
 
   void addFinding(String key, String message) {
+    findings.add(finding(key, message));
+  }
+
+  /** Adds a finding about a value in whose place another one is used. */
+  void tolerate(String key, String message) {
+    tolerated.add(finding(key, message));
+  }
+
+  private Finding finding(String key, String message) {
     int line = section.lines().getOrDefault(key, section.line());
-    findings.add(new Finding(file, line, section.header(), key, message));
+    return new Finding(file, line, section.header(), key, message);
   }
 
   void reportUnknownKeys() {
