Large objects of other writers cost only themselves

Cause: the trees of all objects of a list were kept until the list was whole and until the next one. A tree takes about thirty times its text, and only the tokens of one value were bounded.

A content beyond the limit of its kind is not decoded, its name stays known; the contents of one list are bounded, small ones last.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ConfigurationWatcher.java
@@ -18,8 +18,6 @@
  */
 final class ConfigurationWatcher implements StoreWatch.Listener {
 
-  private static final String CONFIGURATION_NAME = "main";
-
   private final GatewayContext context;
   private boolean isUnavailable;
 
@@ -53,7 +51,7 @@
   }
 
   private void accept(StoreObject value, Moment sent) {
-    if (!value.name().equals(CONFIGURATION_NAME)) {
+    if (!value.name().equals(StoreFormat.CONFIGURATION_NAME)) {
       return;
     }
     switch (value) {
@@ -81,7 +79,7 @@
 
   private void unreadable(String defect) {
     isUnreadable = true;
-    context.logChange("configuration-unreadable", CONFIGURATION_NAME, defect);
+    context.logChange("configuration-unreadable", StoreFormat.CONFIGURATION_NAME, defect);
   }
 
   @Override
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
@@ -129,12 +129,12 @@
 
   private boolean written(ControlClient.Outcome outcome) throws IOException {
     if (outcome.isOk()) {
-      revision = StoreFormat.value(outcome.body()).revision();
+      revision = StoreFormat.value(StoreFormat.CRASH_REPORTS, outcome.body()).revision();
       context.log().event("crash-report-written", "revision", revision);
     } else if (outcome.status() == NOT_FOUND) {
       revision = 0;
     } else if (outcome.status() == CONFLICT) {
-      revision = StoreFormat.value(outcome.body()).revision();
+      revision = StoreFormat.value(StoreFormat.CRASH_REPORTS, outcome.body()).revision();
     } else {
       context
           .log()
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -456,7 +456,8 @@
       try {
         if (outcome.isOk()) {
           boolean isTaken = !lease.isHeld() && !record.isReleased();
-          lease.recordWrite(record, StoreFormat.value(outcome.body()).revision(), outcome.sent());
+          long revision = StoreFormat.value(StoreFormat.LEASES, outcome.body()).revision();
+          lease.recordWrite(record, revision, outcome.sent());
           if (isTaken) {
             context
                 .log()
@@ -475,7 +476,7 @@
             step(true);
           }
         } else if (outcome.status() == CONFLICT) {
-          StoreObject other = StoreFormat.value(outcome.body());
+          StoreObject other = StoreFormat.value(StoreFormat.LEASES, outcome.body());
           lease.recordConflict();
           changing.clear();
           lease.recordRead(leaseRecord(model, other), other.revision(), Moment.now());
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -12,6 +12,7 @@
 import org.bulrushpier.Moment;
 import org.bulrushpier.adapter.StoreFormat;
 import org.bulrushpier.adapter.StoreFormat.Event;
+import org.bulrushpier.adapter.StoreFormat.ReadableObject;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.daemon.net.ConnectionPool;
 import org.bulrushpier.daemon.net.EventLoop;
@@ -118,6 +119,13 @@
   private static final long MAX_BACKOFF_MILLIS = 500;
   private static final int GONE = 410;
   private static final long UNKNOWN_REVISION = -1;
+
+  /** The most bytes that the contents of a list may take. */
+  private static final long MAX_LIST_BYTES = 16 * 1_024 * 1_024;
+
+  /** The length up to which a content may take the last half of these bytes. */
+  private static final int SMALL_CONTENT_BYTES = 2_048;
+
   private static final Logger log = LoggerFactory.getLogger("store");
 
   private final EventLoop loop;
@@ -132,6 +140,9 @@
   /** The names of the objects in the known state. */
   private final Set<String> names = new HashSet<>();
 
+  /** The bytes of the contents in {@link #values}. */
+  private long keptBytes;
+
   private Moment listSentAt;
 
   /** A moment at which the known state was certainly the newest. */
@@ -182,6 +193,7 @@
   private void list(String after) {
     if (after.isEmpty()) {
       values.clear();
+      keptBytes = 0;
       listSentAt = Moment.now();
     }
     call(
@@ -221,11 +233,11 @@
     if (!outcome.isOk()) {
       return failed(outcome);
     }
-    StoreFormat.Page page = StoreFormat.page(outcome.body());
+    StoreFormat.Page page = StoreFormat.page(kind, outcome.body());
     if (after.isEmpty()) {
       listRevision = page.revision();
     }
-    values.addAll(page.values());
+    page.values().forEach(this::keep);
     if (page.hasMore()) {
       String last = lastName(page);
       if (last.isEmpty() || last.equals(after)) {
@@ -242,11 +254,28 @@
         .listed(kind, revision, values, Set.copyOf(names), currentAt, timing.periodMillis());
     names.clear();
     values.forEach(value -> names.add(value.name()));
+    values.clear();
     // Later pages may hold newer objects than a reader knows.
     isProbing = !after.isEmpty();
     return this::next;
   }
 
+  /**
+   * Keeps an object until the list is whole. Without its content it takes next to nothing; the
+   * contents of all together are bounded, those of small objects last.
+   */
+  private void keep(StoreObject value) {
+    if (value instanceof ReadableObject readable) {
+      int bytes = readable.contentBytes();
+      if (keptBytes + bytes > (bytes > SMALL_CONTENT_BYTES ? MAX_LIST_BYTES / 2 : MAX_LIST_BYTES)) {
+        values.add(readable.without("the list has more than " + keptBytes + " bytes"));
+        return;
+      }
+      keptBytes += bytes;
+    }
+    values.add(value);
+  }
+
   private static String lastName(StoreFormat.Page page) {
     for (StoreObject value : page.values().reversed()) {
       if (!value.name().isEmpty()) {
@@ -300,7 +329,7 @@
     }
     StoreFormat.Events events;
     try {
-      events = StoreFormat.events(answer.body());
+      events = StoreFormat.events(kind, answer.body());
     } catch (IOException e) {
       sources.leave(reader, "unreadable");
       return storeInstead(true);
@@ -365,7 +394,7 @@
     if (!outcome.isOk()) {
       return failed(outcome);
     }
-    StoreFormat.Events events = StoreFormat.events(outcome.body());
+    StoreFormat.Events events = StoreFormat.events(kind, outcome.body());
     final long before = revision;
     revision = events.revision();
     succeeded();
--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/FollowerWatchTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/FollowerWatchTest.java
@@ -149,7 +149,8 @@
         query == null
             ? "{\"items\":[" + object("a", 7) + "],\"has_more\":false,\"current_rev\":7}"
             : "{\"events\":[],\"current_rev\":" + query.replaceAll("watch=(\\d+).*", "$1") + "}";
-    StoreFormat.page("{\"items\":[],\"current_rev\":1}".getBytes(StandardCharsets.UTF_8));
+    StoreFormat.page(
+        "servers", "{\"items\":[],\"current_rev\":1}".getBytes(StandardCharsets.UTF_8));
     send(exchange, 200, body);
   }
 
--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
@@ -43,6 +43,7 @@
   private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> responses = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> deliveries = new LinkedBlockingQueue<>();
+  private final BlockingQueue<List<StoreObject>> lists = new LinkedBlockingQueue<>();
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
   private final CountDownLatch isSilenceOver = new CountDownLatch(1);
   private HttpServer store;
@@ -58,6 +59,7 @@
 
     @Override
     public void listed(List<StoreObject> values, Moment sent, Moment changedAfter) {
+      lists.add(values);
       deliver("listed", values);
     }
 
@@ -109,7 +111,7 @@
     store.createContext(
         "/loaded",
         exchange -> {
-          StoreFormat.page(page(1, false, A).getBytes(StandardCharsets.UTF_8));
+          StoreFormat.page("servers", page(1, false, A).getBytes(StandardCharsets.UTF_8));
           exchange.sendResponseHeaders(200, -1);
           exchange.close();
         });
@@ -335,4 +337,33 @@
     Moment received = new Moment(1_200, 6_200);
     assertThat(StoreWatch.provenAt(true, 3_000, at(1_000), received)).isEqualTo(at(1_000));
   }
+
+  /**
+   * Guards against lists of another writer that exhaust the heap: contents are kept up to a bound,
+   * small ones first, and all names.
+   */
+  @Test
+  void contentsOfLongListAreBounded() throws Exception {
+    String medium = "\"" + "x".repeat(30_000) + "\"";
+    for (int i = 0; i < 20; i++) {
+      String[] items = new String[30];
+      for (int j = 0; j < items.length; j++) {
+        items[j] = object("m" + (100 + i) + "-" + (100 + j)).replace("{}", medium);
+      }
+      responses.add(page(1, true, items));
+    }
+    responses.add(page(1, false, object("z")));
+
+    startWatch(null);
+
+    List<StoreObject> list = lists.poll(30, TimeUnit.SECONDS);
+    assertThat(list).hasSize(601);
+    assertThat(list.getLast()).isInstanceOf(StoreFormat.ReadableObject.class);
+    long kept =
+        list.stream()
+            .filter(StoreFormat.ReadableObject.class::isInstance)
+            .mapToLong(value -> ((StoreFormat.ReadableObject) value).contentBytes())
+            .sum();
+    assertThat(kept).isLessThan(10_000_000);
+  }
 }
