A run goes on at its copy only when its replica has stopped

Cause: the end of a connection was taken for the end of the run.

Change: the replica's report is asked first. The run has ended if it is not listed, as far as the age of a report allows to tell, if the replica is another incarnation, refuses connections without any other request of ours, or does not answer while the holder of the copy does. An answered report counts as a sign of life, so the wait is not taken for a crash.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/ControlClient.java
@@ -50,8 +50,16 @@
    * @param fields the header fields of the response, or empty
    * @param sent when the call was made
    * @param detail the failure if there is no complete response, otherwise empty
+   * @param isRefused whether nothing listens at the address
    */
-  record Outcome(int status, byte[] body, HttpFields fields, Moment sent, String detail) {
+  record Outcome(
+      int status, byte[] body, HttpFields fields, Moment sent, String detail, boolean isRefused) {
+
+    /** Creates the outcome of a call whose connection was not refused. */
+    Outcome(int status, byte[] body, HttpFields fields, Moment sent, String detail) {
+      this(status, body, fields, sent, detail, false);
+    }
+
     boolean isOk() {
       return status >= 200 && status < 300;
     }
@@ -197,6 +205,7 @@
     private Runnable begun = () -> {};
     private int status;
     private HttpFields fields = HttpFields.EMPTY;
+    private boolean isRefused;
     private boolean isDone;
 
     Call(ByteBudget budget, BooleanSupplier isObsolete, Consumer<Outcome> consumer) {
@@ -252,9 +261,14 @@
       finish(new Outcome(status, body.toByteArray(), fields, sent, ""));
     }
 
+    @Override
+    public void refused() {
+      isRefused = true;
+    }
+
     @Override
     public void failed(String detail) {
-      finish(new Outcome(NO_RESPONSE, new byte[0], HttpFields.EMPTY, sent, detail));
+      finish(new Outcome(NO_RESPONSE, new byte[0], HttpFields.EMPTY, sent, detail, isRefused));
     }
 
     private void finish(Outcome outcome) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -282,6 +282,13 @@
     return mayHaveRun && !route.isRepeatable();
   }
 
+  /** Goes on as soon as it is known that the replica before does not work on the run any more. */
+  private void runEnded() {
+    if (!isDone && interruption.isUnderWay()) {
+      runOrGiveUp(this::tryPlace);
+    }
+  }
+
   /** Lets the run of a request that must not be run again go on from its copy. */
   private void goOnAtCopy(long remaining, long now) {
     switch (survival.next(now)) {
@@ -613,6 +620,7 @@
     private boolean isEnded;
     private ColdSpell.Send coldSend = new ColdSpell.Send();
     private boolean isWithheld;
+    private long startedMillis = -1;
 
     Attempt(Replica replica, Placement.Send placement, Optional<Continuation.GoOn> continuation) {
       this.replica = replica;
@@ -832,6 +840,7 @@
       beginBody(response.isEventStream() ? -1 : read.length());
       inFlight.markStarted();
       long now = MonotonicClock.millis();
+      startedMillis = now;
       recordPace(now);
       replica.recordActivity(now);
       context.cold().answered(replica, response.coldMillis(), now);
@@ -1184,6 +1193,7 @@
 
     private void responseLost(String detail) {
       attemptEnd = "upstream failed";
+      survival.brokeOff(replica, startedMillis, inFlight.sentMillis(), Exchange.this::runEnded);
       replicaLost();
       if (!hasForwardedEvents && continuation.isPresent()) {
         context.metrics().continuation("failed");
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Survival.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Survival.java
@@ -13,6 +13,7 @@
 import org.bulrushpier.survival.CopyPlacement.Choice;
 import org.bulrushpier.survival.RunCopy;
 import org.bulrushpier.survival.RunCopy.Continuation;
+import org.bulrushpier.survival.RunEnd;
 import org.bulrushpier.survival.SilenceWatch;
 
 /**
@@ -23,6 +24,8 @@
 final class Survival {
 
   private static final Continuation.Lost NO_RETRY = new Continuation.Lost("no retry is left");
+  private static final Continuation.Wait STILL_RUNNING =
+      new Continuation.Wait("its replica may still work on it");
 
   private final GatewayContext context;
   private final CallerRequest request;
@@ -31,6 +34,9 @@
   private final SilenceWatch silence;
   private final Optional<RunCopy> copy;
 
+  /** The inquiry after the run whose answer broke off last, or null. */
+  private RunInquiry inquiry;
+
   Survival(
       GatewayContext context,
       CallerRequest request,
@@ -112,6 +118,37 @@
     return true;
   }
 
+  /**
+   * Records that the answer of a run broke off, at which its replica may still work.
+   *
+   * @param run the replica
+   * @param begunMillis a monotonic time at which it had begun, in milliseconds, or -1
+   * @param sentMillis the monotonic time at which the request was sent, in milliseconds
+   * @param listener is told when the run has ended
+   */
+  void brokeOff(Replica run, long begunMillis, long sentMillis, Runnable listener) {
+    RunEnd end =
+        begunMillis >= 0
+            ? RunEnd.ofRun(request.id(), begunMillis)
+            : RunEnd.ofRequest(request.id(), sentMillis);
+    if (inquiry != null) {
+      inquiry.stop();
+    }
+    inquiry = new RunInquiry(context, run, end, listener);
+  }
+
+  /** Returns whether the replica whose answer broke off does not work on the run any more. */
+  private boolean isEndedElsewhere(long nowMillis) {
+    if (inquiry == null || inquiry.isEnded()) {
+      return true;
+    }
+    if (isGone(inquiry.replica(), inquiry.replica().lastActivityMillis(), nowMillis)) {
+      inquiry.replicaGone();
+      return true;
+    }
+    return false;
+  }
+
   private boolean hasRetry(long nowMillis) {
     return context.retryBudget(selection.service()).mayRetry(nowMillis);
   }
@@ -122,6 +159,9 @@
    */
   Continuation next(long nowMillis) {
     Continuation next = continuation(nowMillis);
+    if (next instanceof Continuation.GoOn && !isEndedElsewhere(nowMillis)) {
+      return STILL_RUNNING;
+    }
     return next instanceof Continuation.GoOn
             && !context.retryBudget(selection.service()).tryRetry(nowMillis)
         ? NO_RETRY
@@ -172,7 +212,9 @@
             "silentMs",
             silentMillis,
             "attemptEnd",
-            attemptEnd);
+            attemptEnd,
+            "askedForMs",
+            inquiry == null ? 0 : inquiry.ageMillis(MonotonicClock.millis()));
   }
 
   /** Records that a run cannot go on although it has a copy. */
@@ -190,5 +232,8 @@
   /** Records that the copy is no longer needed. */
   void release() {
     copy.ifPresent(RunCopy::release);
+    if (inquiry != null) {
+      inquiry.stop();
+    }
   }
 }
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/ReplicaFake.java
@@ -12,12 +12,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.WeakHashMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import java.util.stream.Collectors;
 import org.bulrushpier.Address;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.rig.Faults;
@@ -45,6 +48,8 @@
     FAIL,
     /** Closes the connection within the third event of a stream that was not resumed. */
     CUT_STREAM,
+    /** Like {@link #CUT_STREAM}, and works on to the last event, as its reports show. */
+    CUT_STREAM_WORK_ON,
     /** Like {@link #CUT_STREAM}, and answers 500 with the replica's seal to resumed streams. */
     CUT_STREAM_FAIL_RESUMED,
     /** Refuses each other request of a connection, and sends the refusal again with the next. */
@@ -151,6 +156,8 @@
   private long ordersDelayedUntilMillis;
   private boolean isChanging;
   private int running;
+  private final Set<String> runs = ConcurrentHashMap.newKeySet();
+  private final Map<String, Long> workEndMillis = new ConcurrentHashMap<>();
   private int version = 1;
   private long bornMillis = 1_700_000_000_000L;
   private Poison poison = new Poison("", 0);
@@ -422,6 +429,7 @@
       listener.run();
     }
     RunCopiesFake.clear(address().toString());
+    runs.clear();
     server.crash();
     Thread.ofVirtual()
         .start(
@@ -569,8 +577,25 @@
   private synchronized String report() {
     return ("{\"stage\":\"colocated\",\"models\":[{\"name\":\"m0\",\"version\":%d}],"
             + "\"busy\":%b,\"seq\":%d,\"queued\":%d,\"running\":%d,"
-            + "\"kv_used\":0,\"kv_total\":50000,\"handles\":0}")
-        .formatted(version, isChanging, orders.size(), waiting.size(), running);
+            + "\"kv_used\":0,\"kv_total\":50000,\"handles\":0,\"born\":%d,\"runs\":[%s]}")
+        .formatted(
+            version,
+            isChanging,
+            orders.size(),
+            waiting.size(),
+            running,
+            bornMillis,
+            runs.stream().map(run -> "[\"" + run + "\",100,1,0]").collect(Collectors.joining(",")));
+  }
+
+  /**
+   * Returns when the replica stopped working on a generation.
+   *
+   * @param requestId the id of the request
+   * @return the monotonic time in milliseconds, or 0 if it has not stopped
+   */
+  public long workEndMillis(String requestId) {
+    return workEndMillis.getOrDefault(requestId, 0L);
   }
 
   private boolean order(RawHttpServer.Request request, Socket socket) throws IOException {
@@ -769,6 +794,7 @@
       case SILENT,
           HOLD_STREAM,
           CUT_STREAM,
+          CUT_STREAM_WORK_ON,
           CUT_STREAM_FAIL_RESUMED,
           REPEAT_REFUSAL,
           REPEAT_REFUSAL_WITHOUT_ID,
@@ -862,6 +888,19 @@
   private boolean stream(
       RawHttpServer.Request request, Socket socket, String attemptHeaders, Behaviour current)
       throws IOException {
+    String requestId = request.header("attempt-id");
+    runs.add(requestId);
+    try {
+      return sendStream(request, socket, attemptHeaders, current);
+    } finally {
+      runs.remove(requestId);
+      workEndMillis.put(requestId, MonotonicClock.millis());
+    }
+  }
+
+  private boolean sendStream(
+      RawHttpServer.Request request, Socket socket, String attemptHeaders, Behaviour current)
+      throws IOException {
     RawHttpServer.send(
         socket,
         "HTTP/1.1 200 X\r\n"
@@ -875,6 +914,12 @@
         sendChunk(socket, "id: " + event + "\nda");
         return false;
       }
+      if (current == Behaviour.CUT_STREAM_WORK_ON && firstEvent == 1 && event == 3) {
+        sendChunk(socket, "id: " + event + "\nda");
+        socket.close();
+        Faults.sleep((events(request) - event) * eventMillis());
+        return false;
+      }
       if (event > firstEvent) {
         Faults.sleep(eventMillis());
       }
--- a/rig/src/test/java/org/bulrushpier/rig/SurvivingStreamIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/SurvivingStreamIntegrationTest.java
@@ -196,6 +196,43 @@
     assertThat(executions("run")).hasSize(2);
   }
 
+  /**
+   * Guards against a run that is worked on at two replicas: the end of a connection was taken for
+   * the end of the run, although the replica that breaks the answer off works on.
+   */
+  @Test
+  void runGoesOnOnlyWhenItsReplicaHasStopped() throws Exception {
+    startEngines(3, true);
+    engines.forEach(engine -> engine.setBehaviour(Behaviour.CUT_STREAM_WORK_ON));
+    engines.forEach(engine -> engine.setPace(new Pace(0, 200, 0)));
+    Run run = begin("run");
+
+    await(() -> executions("run").size() == 2);
+
+    assertThat(run.engine().workEndMillis("run")).isPositive();
+    Execution continuation = executionAt(holder(run.engine(), run), run);
+    assertThat(run.engine().workEndMillis("run"))
+        .isLessThanOrEqualTo(continuation.arrivedMillis() + 400);
+    assertWhole(run);
+  }
+
+  /** An answer that breaks off without a crash costs the time of a report, not a timeout. */
+  @Test
+  void runGoesOnSoonWhenItsReplicaDropsIt() throws Exception {
+    startEngines(3, true);
+    engines.forEach(engine -> engine.setPace(new Pace(0, 300, 0)));
+    engines.forEach(engine -> engine.setBehaviour(Behaviour.CUT_STREAM));
+    Run run = begin("run");
+    await(() -> run.engine().workEndMillis("run") > 0);
+    long brokeOffMillis = run.engine().workEndMillis("run");
+
+    await(() -> executions("run").size() == 2);
+
+    Execution continuation = executionAt(holder(run.engine(), run), run);
+    assertThat(continuation.arrivedMillis() - brokeOffMillis).isLessThan(600);
+    assertWhole(run);
+  }
+
   @Test
   void runThatHasNotBegunGoesOnFromItsStart() throws Exception {
     startEngines(2, true);
