A gateway takes signals from its first statement on

Cause: the handler was installed last, after the settings were read and the addresses bound; the runtime's own handler ends the process.

Change: a gateway takes SIGHUP and SIGTERM over first. A reload that comes early is kept and passed on after the start, several as one; a server does not start after SIGTERM, and one that is starting is shut down as usual.

--- a/daemon/src/main/java/org/bulrushpier/daemon/Main.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/Main.java
@@ -33,6 +33,8 @@
     })
 public final class Main {
 
+  private static final String GATEWAY = "gateway";
+
   private Main() {}
 
   /**
@@ -41,6 +43,9 @@
    * @param args the command line
    */
   public static void main(String[] args) {
+    if (args.length > 0 && args[0].equals(GATEWAY)) {
+      ProcessSignals.install();
+    }
     Logging.configureQuiet();
     int code =
         new CommandLine(new Main())
--- a/daemon/src/main/java/org/bulrushpier/daemon/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/command/GatewayCommand.java
@@ -7,12 +7,12 @@
 import java.util.concurrent.Callable;
 import org.bulrushpier.Finding;
 import org.bulrushpier.daemon.Logging;
+import org.bulrushpier.daemon.ProcessSignals;
 import org.bulrushpier.daemon.serve.Gateway;
 import org.bulrushpier.daemon.serve.SettingsFile;
 import org.bulrushpier.settings.GatewaySettings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import sun.misc.Signal;
 
 /** Runs an entry instance on the deployment platform until it is terminated. Not thread-safe. */
 @Command(
@@ -36,6 +36,7 @@
 
   @Override
   public Integer call() throws IOException {
+    ProcessSignals signals = ProcessSignals.installed();
     List<Finding> findings = new ArrayList<>();
     SettingsFile settingsFile = SettingsFile.open(file);
     GatewaySettings settings = settingsFile.parse(findings);
@@ -44,10 +45,24 @@
       return 1;
     }
     Logging.configureEvents();
-    Gateway gateway = Gateway.start(settings);
-    gateway.watchSettings(settingsFile);
-    Signal.handle(new Signal("HUP"), signal -> gateway.reload(settingsFile));
-    Runtime.getRuntime().addShutdownHook(new Thread(gateway::shutDown, "shutdown"));
+    signals.start(() -> start(settings, settingsFile));
     return EntryCommand.KEEPS_RUNNING;
   }
+
+  private static ProcessSignals.Listener start(GatewaySettings settings, SettingsFile file)
+      throws IOException {
+    Gateway gateway = Gateway.start(settings);
+    gateway.watchSettings(file);
+    return new ProcessSignals.Listener() {
+      @Override
+      public void reload() {
+        gateway.reload(file);
+      }
+
+      @Override
+      public void terminate() {
+        gateway.shutDown();
+      }
+    };
+  }
 }
