An answer is not complete while its request is still written

Now an answer that ends with its connection is incomplete while its request is written, and a status beyond 599 is no answer, as 000 already was.

--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
@@ -30,6 +30,7 @@
   private static final Logger log = LoggerFactory.getLogger("net");
   private static final int MAX_HEAD_BYTES = 32 * 1_024;
   private static final int FIRST_FINAL_STATUS = 200;
+  private static final int LAST_STATUS = 599;
 
   /** The most interim responses before a final one. */
   private static final int MAX_INTERIM_RESPONSES = 16;
@@ -215,7 +216,10 @@
       return;
     }
     request.listener().disconnected();
-    if (!isReset) {
+    // A peer that closes with unread bytes resets the connection, of which a failed write may be
+    // the
+    // only sign, and one that another thread is yet to report.
+    if (!isReset && !isWritePending()) {
       parser.atEOF();
       parser.parseNext(ByteBuffer.allocate(0));
     }
@@ -300,6 +304,10 @@
 
     @Override
     public boolean headerComplete() {
+      if (status > LAST_STATUS) {
+        fail("status " + status + " is beyond those of HTTP");
+        return true;
+      }
       if (request == null || status < FIRST_FINAL_STATUS) {
         return false;
       }
--- a/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/net/OutboundConnectionTest.java
@@ -80,10 +80,18 @@
   }
 
   private void send(Address address, ResponseRecorder recorder) {
-    HttpFields fields = HttpFields.build().add("Host", "x").add("Attempt-Id", recorder.id);
+    send(address, recorder, new byte[0]);
+  }
+
+  private void send(Address address, ResponseRecorder recorder, byte[] body) {
+    HttpFields fields =
+        HttpFields.build()
+            .add("Host", "x")
+            .add("Attempt-Id", recorder.id)
+            .add("Content-Length", Integer.toString(body.length));
     pool.send(
         address,
-        OutboundRequest.of("GET", "/", fields, new byte[0], recorder),
+        OutboundRequest.of("POST", "/", fields, body, recorder),
         ConnectionPool.ANY_IDLE_TIME);
   }
 
@@ -220,6 +228,46 @@
     }
   }
 
+  /**
+   * Guards against a part of an answer that counts as complete: a replica answers an upload without
+   * a length and closes before it has read the rest. Only a write may show the reset.
+   */
+  @Test
+  void responseWithoutLengthIsNotCompleteWhileTheRequestIsStillWritten() throws Exception {
+    CompletableFuture<Void> isOver = new CompletableFuture<>();
+    try (RawServer server =
+        new RawServer(
+            socket -> {
+              RawServer.readHead(socket);
+              RawServer.write(socket, "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\npart");
+              socket.shutdownOutput();
+              isOver.join();
+            })) {
+      ResponseRecorder recorder = new ResponseRecorder("a");
+      loop.run(() -> send(server.address(), recorder, new byte[64 * 1_024 * 1_024]));
+
+      assertThat(outcome(recorder)).isEqualTo("failed");
+      isOver.complete(null);
+    }
+  }
+
+  /** Guards against statuses that no caller can read as an answer. */
+  @Test
+  void responseWithStatusThatIsNoneFails() throws Exception {
+    for (String status : List.of("000", "099", "600", "999", "1000", "-20", "20")) {
+      try (RawServer server =
+          new RawServer(
+              socket -> {
+                RawServer.readHead(socket);
+                RawServer.write(
+                    socket,
+                    "HTTP/1.1 " + status + " X\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n");
+              })) {
+        assertThat(outcome(send(server.address(), "a"))).as(status).isEqualTo("failed");
+      }
+    }
+  }
+
   @Test
   void truncatedOrInvalidResponseFails() throws Exception {
     try (RawServer server =
