--- a/rig/src/test/java/org/bulrushpier/rig/FreedPartsIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/FreedPartsIntegrationTest.java
@@ -80,6 +80,7 @@
     }
     for (GatewaySettings instance : settings.values()) {
       GatewaySite.await(() -> status("http://" + instance.readyAddress() + "/ready") == 200);
+      GatewaySite.await(() -> fetchesFor(instance));
     }
   }
 
@@ -122,6 +123,13 @@
     assertThat(fetches).isNotEmpty().allMatch(fetchEnd -> fetchEnd < cacheStore.freedMillis());
   }
 
+  /** Sends a generation and returns whether it fetches a part from the store. */
+  private boolean fetchesFor(GatewaySettings instance) {
+    int before = ends(steady).size();
+    generate(instance);
+    return ends(steady).size() > before;
+  }
+
   /** Returns when the fetches that were ordered from the store must have ended. */
   private List<Long> ends(ReplicaFake engine) {
     return engine.executions().stream()
