The first statement of a gateway needs no library

Beside a load of 12 a process was still starting 0.2 s after its start and ended by SIGHUP. The class of the entry point named picocli in its signatures, so the runtime opened libraries before it ran: the handler was installed 83 ms after the start, of which 39 ms went into that (class loading log).

The commands now stand in a class of their own.

--- a/daemon/src/main/java/org/bulrushpier/daemon/Main.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/Main.java
@@ -1,36 +1,16 @@
 package org.bulrushpier.daemon;
 
-import org.bulrushpier.daemon.command.CheckCommand;
-import org.bulrushpier.daemon.command.CommandExceptionHandler;
 import org.bulrushpier.daemon.command.EntryCommand;
-import org.bulrushpier.daemon.command.ExplainCommand;
-import org.bulrushpier.daemon.command.GatewayCommand;
-import org.bulrushpier.daemon.command.SettingsCommand;
-import org.bulrushpier.daemon.command.StatusCommand;
-import org.bulrushpier.daemon.command.TimelineCommand;
-import picocli.CommandLine;
-import picocli.CommandLine.Command;
 
 /**
  * The entry point of the command line.
  *
  * <p>Exit codes: 0 for success, 1 for findings or a rejected request, 2 for wrong usage, 3 for an
  * unreachable entry.
+ *
+ * <p>Refers to no library, as the runtime loads what this class refers to before it is run, and a
+ * gateway must take signals over as early as possible.
  */
-@Command(
-    name = "bulrushpier",
-    description = "Routes prompts to inference engines and restores their cache after long gaps.",
-    mixinStandardHelpOptions = true,
-    version = "bulrushpier 0.1.0",
-    subcommands = {
-      EntryCommand.class,
-      GatewayCommand.class,
-      SettingsCommand.class,
-      StatusCommand.class,
-      TimelineCommand.class,
-      CheckCommand.class,
-      ExplainCommand.class
-    })
 public final class Main {
 
   private static final String GATEWAY = "gateway";
@@ -46,12 +26,7 @@
     if (args.length > 0 && args[0].equals(GATEWAY)) {
       ProcessSignals.install();
     }
-    Logging.configureQuiet();
-    int code =
-        new CommandLine(new Main())
-            .setExecutionExceptionHandler(new CommandExceptionHandler())
-            .setCaseInsensitiveEnumValuesAllowed(true)
-            .execute(args);
+    int code = Commands.run(args);
     if (code != EntryCommand.KEEPS_RUNNING) {
       System.exit(code);
     }
--- a/daemon/src/main/java/org/bulrushpier/daemon/ProcessSignals.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/ProcessSignals.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * The signals to a server process: SIGHUP asks it to read its settings again, SIGTERM to shut down.
@@ -49,8 +50,23 @@
 
   /** Takes the signals over; to be called first in a process that serves. */
   public static void install() {
-    Signal.handle(new Signal("HUP"), signal -> INSTANCE.reload());
-    Runtime.getRuntime().addShutdownHook(new Thread(INSTANCE::terminate, "shutdown"));
+    // Lambdas would cost some ms more at a start without a class data sharing archive.
+    Signal.handle(
+        new Signal("HUP"),
+        new SignalHandler() {
+          @Override
+          public void handle(Signal signal) {
+            INSTANCE.reload();
+          }
+        });
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread("shutdown") {
+              @Override
+              public void run() {
+                INSTANCE.terminate();
+              }
+            });
   }
 
   /** Returns the signals of this process. */
