Revisions of a store that came back from a copy are not compared

After a drill in which the store came back from a copy, a replica that had left went on getting every call: its removal had a revision below one that instances knew, and the counter had passed that when the store answered again. Leases that went back could not be read, and fences could go back.

Cause: revisions were taken to grow for ever; nothing read Store-Era.

Change: the era is read from all answers of the store and from those of readers. A new one makes each watch forget its revision and list again; late answers of an older one are dropped. Leases are left and waited for, fences grow with the era, lost evacuations are held for 10 s, crash reports are written again. The stand-in store learns the drill.

--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
@@ -38,6 +38,14 @@
 
   CrashReportStore(GatewayContext context) {
     this.context = context;
+    context.storeEras().listen(this::storeRestored);
+  }
+
+  /** Writes the object once more, as it may be lost. */
+  private void storeRestored() {
+    writtenChanges = revision > 0 ? -1 : writtenChanges;
+    writtenSuspects = revision > 0 ? -1 : writtenSuspects;
+    revision = 0;
   }
 
   /**
@@ -119,6 +127,11 @@
             CALL_TIMEOUT_MILLIS,
             outcome -> {
               isCalling = false;
+              long era = context.storeEras().era().current();
+              if (!context.storeEras().accepts(outcome)
+                  || era != context.storeEras().era().current()) {
+                return;
+              }
               try {
                 handler.handle(outcome);
               } catch (IOException e) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Gateway.java
@@ -245,6 +245,7 @@
     watch(StoreFormat.REPLICAS, REPLICA_TIMING, new ReplicaWatcher(context));
     watch(StoreFormat.WEIGHTS, WEIGHTS_TIMING, new WeightsWatcher(context));
     watch(StoreFormat.LEASES, LEASE_TIMING, rollouts);
+    context.storeEras().listen(() -> context.evacuations().storeRestored(MonotonicClock.millis()));
     watchEvacuations();
     loop.every(TICK_MILLIS, this::tick);
   }
@@ -332,6 +333,7 @@
     exchanges.removeIf(Exchange::isDone);
     connections.removeIf(CallerConnection::isClosed);
     loop.run(() -> expireReplicas(now));
+    loop.run(() -> expireEvacuations(now));
     loop.run(cacheStorePoller::tick);
     if (fleet != null) {
       loop.run(() -> fleet.tick(now));
@@ -356,6 +358,13 @@
             id -> context.logChange("replica-gone", id, "not registered again after the outage"));
   }
 
+  private void expireEvacuations(long nowMillis) {
+    context
+        .evacuations()
+        .expire(nowMillis)
+        .forEach(domain -> context.logChange("evacuation-withdrawn", domain, "lost by the store"));
+  }
+
   /** Places waiting requests as far as engines can take them, and refuses those that expired. */
   private void placeWaiting(String service, PlacementQueue<QueueWait> queue, long nowMillis) {
     queue.removeExpired(nowMillis).forEach(waiting -> waiting.expired(nowMillis));
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -76,6 +76,7 @@
   private final ColdGuard cold = new ColdGuard(this);
   private final PaceGuard paces = new PaceGuard(this);
   private final PoisonGuard poison = new PoisonGuard(log, metrics);
+  private final StoreEras storeEras = new StoreEras(log, metrics);
   private final Map<String, SlidingWindowRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, PlacementQueue<QueueWait>> placementQueues = new HashMap<>();
   private final StallDetector stalls = new StallDetector();
@@ -261,6 +262,11 @@
     return cold;
   }
 
+  /** Returns what is known of the era of the metadata store. */
+  StoreEras storeEras() {
+    return storeEras;
+  }
+
   EventLog log() {
     return log;
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayMetrics.java
@@ -73,6 +73,8 @@
           "Time by which timers of the event loop are late",
           DELAY_BUCKETS);
 
+  private final Counter storeEras =
+      counter("bulrushpier.store.eras", "Times that the metadata store came back from a copy");
   private final Counter replicaCrashes =
       counter("bulrushpier.replicas.crashed", "Crashes of replicas that broke off an answer");
 
@@ -233,6 +235,10 @@
     placedAtCold.increment();
   }
 
+  void storeEraBegan() {
+    storeEras.increment();
+  }
+
   void replicaCrashed() {
     replicaCrashes.increment();
   }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -97,6 +97,7 @@
 
   RolloutCoordinator(GatewayContext context) {
     this.context = context;
+    context.storeEras().listen(() -> rollouts.values().forEach(Rollout::storeRestored));
   }
 
   /**
@@ -309,6 +310,13 @@
       }
     }
 
+    /** Stops ordering at once: the lease may be another instance's in the store's new era. */
+    private void storeRestored() {
+      lease.storeRestored(Moment.now());
+      changing.clear();
+      takeoverAtMillis = -1;
+    }
+
     void step(boolean isLeaving) {
       if (isStopped) {
         return;
@@ -453,11 +461,18 @@
 
     private void leaseWritten(LeaseRecord record, ControlClient.Outcome outcome) {
       isWriting = false;
+      long era = context.storeEras().era().current();
+      if (!context.storeEras().accepts(outcome) || era != context.storeEras().era().current()) {
+        // The lease is taken anew once what the store has now was read.
+        nextWriteMillis = MonotonicClock.millis() + WRITE_PAUSE_MILLIS;
+        return;
+      }
       try {
         if (outcome.isOk()) {
           boolean isTaken = !lease.isHeld() && !record.isReleased();
           long revision = StoreFormat.value(StoreFormat.LEASES, outcome.body()).revision();
-          lease.recordWrite(record, revision, outcome.sent());
+          long token = context.storeEras().era().fence(revision);
+          lease.recordWrite(record, revision, token, outcome.sent());
           if (isTaken) {
             context
                 .log()
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreSources.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreSources.java
@@ -80,6 +80,11 @@
       if (!pending.remove(this)) {
         return;
       }
+      if (outcome.isOk() && !eras().accepts(outcome)) {
+        leave(reader, "older era");
+        consumer.accept(Answer.without(Status.FAILED));
+        return;
+      }
       Moment now = Moment.now();
       OptionalLong offset = StoreFormat.proofOffsetMillis(outcome.fields());
       if (outcome.status() == NOT_READ || outcome.status() == GONE) {
@@ -145,6 +150,11 @@
             relay::heldCalls);
   }
 
+  /** Returns what is known of the era of the store. */
+  StoreEras eras() {
+    return context.storeEras();
+  }
+
   /** Returns what answers the calls of other instances. */
   WatchRelay relay() {
     return relay;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -36,7 +36,11 @@
  * the number of calls that all instances make together. The listener receives the result of each
  * successful call with the moment at which the call was sent. After a failure the next call is made
  * after a random pause that grows up to a bound, so that the instances do not return at the same
- * time. Guarded by the loop's lock.
+ * time.
+ *
+ * <p>When the store comes back from a copy ({@link StoreEras}), its revisions are given out again.
+ * The watch then forgets its revision and lists all objects once more, after a random pause; what
+ * is under way from before has no effect. Guarded by the loop's lock.
  */
 final class StoreWatch {
 
@@ -118,6 +122,10 @@
   private static final long MIN_BACKOFF_MILLIS = 60;
   private static final long MAX_BACKOFF_MILLIS = 500;
   private static final int GONE = 410;
+
+  /** The longest pause before the list of a new era, in milliseconds. */
+  private static final long MAX_ERA_PAUSE_MILLIS = 400;
+
   private static final long UNKNOWN_REVISION = -1;
 
   /** The most bytes that the contents of a list may take. */
@@ -161,6 +169,9 @@
   private boolean isUnavailable;
   private boolean isRelayed;
 
+  /** Grows with each era of the store, so that what is under way can be told from what follows. */
+  private int generation;
+
   StoreWatch(
       EventLoop loop,
       ControlClient client,
@@ -179,9 +190,29 @@
   }
 
   void start() {
+    sources.eras().listen(this::eraBegan);
     next();
   }
 
+  private void eraBegan() {
+    generation++;
+    revision = UNKNOWN_REVISION;
+    isProbing = true;
+    sources.relay().notReading(kind);
+    listener.unavailable("the store came back from a copy");
+    loop.after(ThreadLocalRandom.current().nextLong(MAX_ERA_PAUSE_MILLIS), ofThisEra(this::next));
+  }
+
+  /** Returns a task that has no effect once another era has begun. */
+  private Runnable ofThisEra(Runnable task) {
+    int begun = generation;
+    return () -> {
+      if (generation == begun) {
+        task.run();
+      }
+    };
+  }
+
   private void next() {
     if (revision < 0) {
       list("");
@@ -224,6 +255,15 @@
     following.run();
   }
 
+  private <T> Consumer<T> ofThisEra(Consumer<T> consumer) {
+    int begun = generation;
+    return value -> {
+      if (generation == begun) {
+        consumer.accept(value);
+      }
+    };
+  }
+
   /** Handles a response and returns what follows it. */
   private interface Handler {
     Runnable handle() throws IOException;
@@ -320,7 +360,7 @@
         reader,
         StoreFormat.watch(kind, revision, hold),
         hold + READER_LATE_MILLIS,
-        answer -> received(() -> answeredBy(reader, answer)));
+        ofThisEra(answer -> received(() -> answeredBy(reader, answer))));
   }
 
   private Runnable answeredBy(Address reader, StoreSources.Answer answer) {
@@ -369,7 +409,17 @@
   }
 
   /** Makes a call. While the store is unavailable, one connection per call is enough. */
-  private void call(StoreCall.Plan plan, Consumer<StoreCall.Answer> consumer) {
+  private void call(StoreCall.Plan plan, Consumer<StoreCall.Answer> handler) {
+    Consumer<StoreCall.Answer> current = ofThisEra(handler);
+    Runnable older = ofThisEra(() -> received(() -> failed("an answer of an older era")));
+    Consumer<StoreCall.Answer> consumer =
+        answer -> {
+          if (sources.eras().accepts(answer.outcome())) {
+            current.accept(answer);
+          } else {
+            older.run();
+          }
+        };
     if (!isUnavailable) {
       StoreCall.send(loop, client, address.get(), plan, consumer);
       return;
@@ -406,7 +456,7 @@
     listener.changed(events.events(), outcome.sent(), currentAt);
     currentAt = proven;
     isProbing = !isEmpty && timing.isChangeConfirmed();
-    return isEmpty ? this::next : () -> loop.after(timing.pauseMillis(), this::next);
+    return isEmpty ? this::next : () -> loop.after(timing.pauseMillis(), ofThisEra(this::next));
   }
 
   /**
@@ -448,6 +498,6 @@
     isProbing = true;
     long pause = backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis);
     backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
-    return () -> sources.retry(kind, pause, this::next);
+    return () -> sources.retry(kind, pause, ofThisEra(this::next));
   }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/WatchRelay.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/WatchRelay.java
@@ -267,7 +267,8 @@
     }
     context.metrics().followerServed();
     long offset = kind.log.proofOffsetMillis(held.received, now);
-    held.connection.respond(OK, StoreFormat.proof(offset, body.isCompressed()), body.bytes());
+    long era = context.storeEras().era().current();
+    held.connection.respond(OK, StoreFormat.proof(offset, body.isCompressed(), era), body.bytes());
   }
 
   private static StoreFormat.RelayedBody encode(Kind kind, long revision, Supplier<byte[]> body) {
--- a/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/serve/StoreWatchTest.java
@@ -47,6 +47,7 @@
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
   private final CountDownLatch isSilenceOver = new CountDownLatch(1);
   private HttpServer store;
+  private volatile String era = "";
 
   /** Records what is delivered; fails for the first object named "fault". */
   private final class Recorder implements StoreWatch.Listener {
@@ -104,6 +105,9 @@
             awaitEndOfTest();
           }
           byte[] body = response.getBytes(StandardCharsets.UTF_8);
+          if (!era.isEmpty()) {
+            exchange.getResponseHeaders().set("Store-Era", era);
+          }
           exchange.sendResponseHeaders(200, body.length);
           exchange.getResponseBody().write(body);
           exchange.close();
@@ -366,4 +370,51 @@
             .sum();
     assertThat(kept).isLessThan(10_000_000);
   }
+
+  /** Guards against changes that are hidden behind revisions which a restored store gives again. */
+  @Test
+  void storeThatCameBackFromCopyIsListedAgain() throws Exception {
+    era = "4";
+    responses.add(page(90, false, A, B));
+    startWatch(null, 50);
+    assertThat(next(deliveries)).isEqualTo("listed[a, b]");
+
+    era = "5";
+    responses.add(change(91, B));
+    responses.add(page(91, false, A));
+
+    assertThat(next(deliveries)).isEqualTo("unavailable");
+    assertThat(next(deliveries)).isEqualTo("listed[a]");
+  }
+
+  @Test
+  void eraThatCannotBeReadChangesNothing() throws Exception {
+    era = "4";
+    responses.add(page(90, false, A));
+    startWatch(null, 50);
+    assertThat(next(deliveries)).isEqualTo("listed[a]");
+
+    for (String bad : List.of("-5", "five", "99999999999999999999", "")) {
+      era = bad;
+      responses.add(change(91, B));
+      assertThat(next(deliveries)).as(bad).isEqualTo("changed[b]");
+    }
+  }
+
+  /** The answer was under way while the store was restored. */
+  @Test
+  void lateAnswerOfOlderEraIsDropped() throws Exception {
+    era = "5";
+    responses.add(page(90, false, A));
+    startWatch(null, 50);
+    assertThat(next(deliveries)).isEqualTo("listed[a]");
+
+    era = "4";
+    responses.add(change(91, B));
+    assertThat(next(deliveries)).isEqualTo("failed");
+
+    era = "5";
+    responses.add(change(91, A));
+    assertThat(next(deliveries)).isEqualTo("changed[a]");
+  }
 }
--- a/library/src/main/java/org/bulrushpier/rollout/OrderLease.java
+++ b/library/src/main/java/org/bulrushpier/rollout/OrderLease.java
@@ -10,8 +10,8 @@
  * its revision. The holder may send orders for a short time, counted from the moment at which it
  * sent its last successful write. Another instance may take the lease once it has seen no change of
  * the object for that time plus the turn time, so that orders of two holders are always at least
- * the turn time apart. The revision of the write that acquired the lease is the fencing token;
- * renewals keep it.
+ * the turn time apart. The fencing token grows with the revision of the write that acquired the
+ * lease; renewals keep it.
  *
  * <pre>{@code
  * if (lease.mayOrder(now)) { ... }
@@ -84,18 +84,30 @@
   }
 
   /**
-   * Records a successful write of this instance.
+   * Records a successful write of this instance whose revision is the fencing token.
    *
    * @param record the record that was written
    * @param newRevision the revision of the write
    * @param sentAt the moment at which the write was sent
    */
   public void recordWrite(LeaseRecord record, long newRevision, Moment sentAt) {
+    recordWrite(record, newRevision, newRevision, sentAt);
+  }
+
+  /**
+   * Records a successful write of this instance.
+   *
+   * @param record the record that was written
+   * @param newRevision the revision of the write
+   * @param token the fencing token, if the write acquired the lease
+   * @param sentAt the moment at which the write was sent
+   */
+  public void recordWrite(LeaseRecord record, long newRevision, long token, Moment sentAt) {
     if (newRevision < revision) {
       return;
     }
     if (fence == 0) {
-      fence = newRevision;
+      fence = token;
     }
     this.record = record;
     revision = newRevision;
@@ -107,6 +119,20 @@
     }
   }
 
+  /**
+   * Records that the store came back from a copy. The lease is no longer held, and what was stored
+   * counts as written by another holder that may order until its term is over.
+   *
+   * @param now the moment at which this was noticed
+   */
+  public void storeRestored(Moment now) {
+    record = LeaseRecord.UNKNOWN;
+    revision = 0;
+    lastChange = now;
+    lastWrite = null;
+    fence = 0;
+  }
+
   /**
    * Records that a write was rejected because the object had changed. The lease is no longer held.
    */
--- a/library/src/main/java/org/bulrushpier/site/Evacuations.java
+++ b/library/src/main/java/org/bulrushpier/site/Evacuations.java
@@ -1,6 +1,7 @@
 package org.bulrushpier.site;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -19,13 +20,22 @@
  * boolean mayReceive = evacuations.mayReceive("norte"); // false
  * }</pre>
  *
+ * <p>A store that comes back from a copy may have lost evacuations that operators will ask for once
+ * more. Those that a list lacks stay in force for {@value #HOLD_MILLIS} ms.
+ *
  * <p>Not thread-safe; guarded by the lock of the gateway's event loop.
  */
 public final class Evacuations {
 
+  /** The time for operators to ask once more for what the store has lost, in milliseconds. */
+  static final long HOLD_MILLIS = 10_000;
+
   private final Map<String, Long> revisions = new HashMap<>();
+  private final Set<String> held = new HashSet<>();
   private boolean isWatched;
   private boolean isListed;
+  private boolean isHolding;
+  private long holdUntilMillis;
 
   /** The effect of an update on one domain. Immutable and thread-safe. */
   public enum Change {
@@ -49,6 +59,32 @@
     return isWatched;
   }
 
+  /**
+   * Records that the store came back from a copy, so that its lists may lack evacuations.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   */
+  public void storeRestored(long nowMillis) {
+    isHolding = true;
+    holdUntilMillis = nowMillis + HOLD_MILLIS;
+  }
+
+  /**
+   * Withdraws evacuations that were lost and not asked for once more in time.
+   *
+   * @param nowMillis the current monotonic time, in milliseconds
+   * @return the names of the domains
+   */
+  public Set<String> expire(long nowMillis) {
+    if (!isHolding || nowMillis < holdUntilMillis) {
+      return Set.of();
+    }
+    isHolding = false;
+    Set<String> expired = Set.copyOf(held);
+    expired.forEach(this::withdraw);
+    return expired;
+  }
+
   /** Returns whether the evacuations are known, or do not apply. */
   public boolean areKnown() {
     return isListed || !isWatched;
@@ -90,7 +126,11 @@
     Map<String, Change> changes = new HashMap<>();
     for (String domain : List.copyOf(revisions.keySet())) {
       if (!listed.containsKey(domain)) {
-        changes.put(domain, withdraw(domain));
+        if (isHolding) {
+          held.add(domain);
+        } else {
+          changes.put(domain, withdraw(domain));
+        }
       }
     }
     listed.forEach((domain, revision) -> changes.put(domain, evacuate(domain, revision)));
@@ -107,6 +147,7 @@
    * @return the effect
    */
   public Change evacuate(String domain, long revision) {
+    held.remove(domain);
     Long before = revisions.put(domain, revision);
     if (before == null) {
       return Change.EVACUATED;
@@ -121,6 +162,7 @@
    * @return the effect
    */
   public Change withdraw(String domain) {
+    held.remove(domain);
     return revisions.remove(domain) == null ? Change.NONE : Change.WITHDRAWN;
   }
 }
--- a/library/src/test/java/org/bulrushpier/rollout/OrderLeaseTest.java
+++ b/library/src/test/java/org/bulrushpier/rollout/OrderLeaseTest.java
@@ -139,4 +139,32 @@
       }
     }
   }
+
+  /** Guards against two holders that both order after the store came back from a copy. */
+  @Test
+  void leaseOfRestoredStoreIsTakenOnlyAfterItsTerm() {
+    OrderLease lease = OrderLease.of("a", TURN);
+    lease.recordWrite(record("a", false), 90, at(1_000));
+
+    lease.storeRestored(at(1_100));
+    lease.recordRead(record("b", false), 40, at(1_200));
+
+    assertThat(lease.mayOrder(at(1_201))).isFalse();
+    assertThat(lease.revision()).isEqualTo(40);
+    assertThat(lease.mayTake(at(1_200 + TURN))).isFalse();
+    assertThat(lease.mayTake(at(1_200 + 2 * OrderLease.TERM_MILLIS + TURN))).isTrue();
+  }
+
+  @Test
+  void lostLeaseIsTakenOnlyAfterItsTerm() {
+    OrderLease lease = OrderLease.of("a", TURN);
+    lease.recordRead(record("b", false), 90, at(1_000));
+
+    lease.storeRestored(at(1_100));
+
+    assertThat(lease.mayTake(at(1_100 + TURN))).isFalse();
+    assertThat(lease.mayTake(at(1_100 + 2 * OrderLease.TERM_MILLIS + TURN))).isTrue();
+    lease.recordWrite(record("a", false), 17, 4_000, at(9_000));
+    assertThat(lease.fence()).isEqualTo(4_000);
+  }
 }
--- a/library/src/test/java/org/bulrushpier/site/EvacuationsTest.java
+++ b/library/src/test/java/org/bulrushpier/site/EvacuationsTest.java
@@ -103,4 +103,33 @@
       assertThat(watched.mayReceive(domain(d))).isEqualTo(!stored.containsKey(domain(d)));
     }
   }
+
+  /** Guards against an evacuation that ends because the store has lost it. */
+  @Test
+  void evacuationThatTheStoreLostIsHeldUntilOperatorsCanAskAgain() {
+    evacuations.markWatched();
+    evacuations.list(Map.of("norte", 17L, "sur", 18L));
+    evacuations.storeRestored(1_000);
+
+    evacuations.list(Map.of("sur", 4L));
+    assertThat(evacuations.mayReceive("norte")).isFalse();
+    assertThat(evacuations.expire(1_000 + Evacuations.HOLD_MILLIS - 1)).isEmpty();
+
+    assertThat(evacuations.expire(1_000 + Evacuations.HOLD_MILLIS)).containsExactly("norte");
+    assertThat(evacuations.mayReceive("norte")).isTrue();
+    assertThat(evacuations.mayReceive("sur")).isFalse();
+  }
+
+  @Test
+  void evacuationThatOperatorsAskForOnceMoreStays() {
+    evacuations.markWatched();
+    evacuations.list(Map.of("norte", 17L));
+    evacuations.storeRestored(1_000);
+    evacuations.list(Map.of());
+
+    evacuations.evacuate("norte", 5);
+
+    assertThat(evacuations.expire(1_000 + Evacuations.HOLD_MILLIS)).isEmpty();
+    assertThat(evacuations.mayReceive("norte")).isFalse();
+  }
 }
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/MetadataStoreFake.java
@@ -20,7 +20,7 @@
  *
  * <p>Faults: during an outage it answers 503; its change history can be discarded; responses to
  * writes can be dropped after the write has taken effect; reads of one kind can be left without an
- * answer. Thread-safe; guarded by one lock.
+ * answer; it can go back to a copy, in another era. Thread-safe; guarded by one lock.
  */
 public final class MetadataStoreFake implements Closeable {
 
@@ -34,6 +34,9 @@
   private final List<Change> changes = new ArrayList<>();
   private final RawHttpServer server;
   private long revision = 1;
+  private long era = 1;
+  private TreeMap<String, ObjectNode> copiedObjects = new TreeMap<>();
+  private long copiedRevision;
   private long oldestRevision;
   private boolean isDown;
   private int responsesToDrop;
@@ -231,12 +234,32 @@
     return object;
   }
 
+  private boolean answer(Socket socket, int status, String body) throws IOException {
+    return RawHttpServer.sendJson(socket, status, "Store-Era: " + era + "\r\n", body);
+  }
+
+  /** Takes a copy of all objects, to which {@link #restore} goes back. */
+  public synchronized void copy() {
+    copiedObjects = new TreeMap<>(objects);
+    copiedRevision = revision;
+  }
+
+  /** Goes back to the copy: what was written since is lost, and its revisions are given again. */
+  public synchronized void restore() {
+    objects.clear();
+    objects.putAll(copiedObjects);
+    revision = copiedRevision;
+    changes.removeIf(change -> change.revision() > copiedRevision);
+    era++;
+    notifyAll();
+  }
+
   private boolean handle(RawHttpServer.Request request, Socket socket) throws IOException {
     String key = request.path().replaceFirst("^/objects/", "");
     synchronized (this) {
       reads += request.method().equals("GET") ? 1 : 0;
       if (isDown) {
-        return RawHttpServer.sendJson(socket, UNAVAILABLE, "{}");
+        return answer(socket, UNAVAILABLE, "{}");
       }
     }
     if (request.method().equals("GET") && awaitAnswers(key)) {
@@ -249,14 +272,14 @@
               : list(socket, key);
       case "POST", "PUT" -> write(socket, request, key);
       case "DELETE" -> delete(socket, key);
-      default -> RawHttpServer.sendJson(socket, NOT_FOUND, "{}");
+      default -> answer(socket, NOT_FOUND, "{}");
     };
   }
 
   private boolean delete(Socket socket, String key) throws IOException {
     int slash = key.indexOf('/');
     remove(key.substring(0, slash), key.substring(slash + 1));
-    return RawHttpServer.sendJson(socket, 200, "{}");
+    return answer(socket, 200, "{}");
   }
 
   private synchronized boolean list(Socket socket, String kind) throws IOException {
@@ -264,7 +287,7 @@
     ArrayNode items = page.putArray("items");
     objects.subMap(kind + "/", kind + "0").values().forEach(items::add);
     page.put("has_more", false).put("current_rev", revision);
-    return RawHttpServer.sendJson(socket, 200, json.writeValueAsString(page));
+    return answer(socket, 200, json.writeValueAsString(page));
   }
 
   private boolean watch(Socket socket, String kind, long since, long waitMillis)
@@ -273,7 +296,7 @@
     synchronized (this) {
       long deadline = System.currentTimeMillis() + waitMillis;
       ArrayNode events = events(kind, since);
-      while (events.isEmpty() && !isDown && since >= oldestRevision) {
+      while (events.isEmpty() && !isDown && since >= oldestRevision && since <= revision) {
         long remaining = deadline - System.currentTimeMillis();
         if (remaining <= 0) {
           break;
@@ -290,17 +313,17 @@
         return false;
       }
       if (isDown) {
-        return RawHttpServer.sendJson(socket, UNAVAILABLE, "{}");
+        return answer(socket, UNAVAILABLE, "{}");
       }
-      if (since < oldestRevision) {
-        return RawHttpServer.sendJson(socket, GONE, "{}");
+      if (since < oldestRevision || since > revision) {
+        return answer(socket, GONE, "{}");
       }
       ObjectNode result = json.createObjectNode();
       result.set("events", events);
       result.put("current_rev", revision);
       body = json.writeValueAsString(result);
     }
-    return RawHttpServer.sendJson(socket, 200, body);
+    return answer(socket, 200, body);
   }
 
   private ArrayNode events(String kind, long since) {
@@ -325,14 +348,14 @@
             ? existing != null
             : existing == null || expectedRevision != existing.at("/metadata/revision").asLong();
     if (isConflict) {
-      return RawHttpServer.sendJson(socket, CONFLICT, json.writeValueAsString(existing));
+      return answer(socket, CONFLICT, json.writeValueAsString(existing));
     }
     ObjectNode stored = commit(key, body.get("spec"));
     if (responsesToDrop > 0) {
       responsesToDrop--;
       return false;
     }
-    return RawHttpServer.sendJson(socket, 200, json.writeValueAsString(stored));
+    return answer(socket, 200, json.writeValueAsString(stored));
   }
 
   @Override
--- a/rig/src/main/java/org/bulrushpier/rig/gateway/RawHttpServer.java
+++ b/rig/src/main/java/org/bulrushpier/rig/gateway/RawHttpServer.java
@@ -152,12 +152,20 @@
   }
 
   static boolean sendJson(Socket socket, int status, String body) throws IOException {
+    return sendJson(socket, status, "", body);
+  }
+
+  /** Sends a JSON response with further header lines, each with its line end. */
+  static boolean sendJson(Socket socket, int status, String headers, String body)
+      throws IOException {
     int length = body.getBytes(StandardCharsets.UTF_8).length;
     send(
         socket,
         "HTTP/1.1 "
             + status
-            + " X\r\nContent-Type: application/json\r\nContent-Length: "
+            + " X\r\n"
+            + headers
+            + "Content-Type: application/json\r\nContent-Length: "
             + length
             + "\r\n\r\n"
             + body);
