The test of the hidden removal sends prompts to all engines

With one prompt all requests went to one engine, so the test passed on too. With prompts that differ the removed engine got calls there 7 s after the store was back, and gets none now.

--- a/rig/src/test/java/org/bulrushpier/rig/RestoredStoreIntegrationTest.java
+++ b/rig/src/test/java/org/bulrushpier/rig/RestoredStoreIntegrationTest.java
@@ -44,6 +44,8 @@
     List<Instance> instances = site.startInstances(2);
     MetadataStoreFake store = site.metadataStore();
     ReplicaFake removed = site.engines().getFirst();
+    generate(instances);
+    assertThat(removed.executions()).isNotEmpty();
     store.copy();
     writeOthers(LOST_WRITES);
     Thread.sleep(WATCH_MILLIS);
@@ -56,12 +58,18 @@
     Thread.sleep(2 * WATCH_MILLIS);
 
     int before = removed.executions().size();
-    for (int i = 0; i < 40; i++) {
-      assertThat(instances.get(i % 2).generate()).isEqualTo(200);
-    }
+    generate(instances);
     assertThat(removed.executions()).hasSize(before);
   }
 
+  /** Sends generations whose prompts differ, so that they go to all engines. */
+  private static void generate(List<Instance> instances) throws Exception {
+    for (int i = 0; i < 60; i++) {
+      String parts = "a%d:80,b%d:20".formatted(i, i);
+      assertThat(instances.get(i % 2).generate(parts).get().statusCode()).isEqualTo(200);
+    }
+  }
+
   @Test
   void weightsAreRolledOutAlthoughTheLeaseWentBack() throws Exception {
     site.startInstances(2);
