--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreWatch.java
@@ -213,6 +213,15 @@
     };
   }
 
+  private <T> Consumer<T> ofThisEra(Consumer<T> consumer) {
+    int begun = generation;
+    return value -> {
+      if (generation == begun) {
+        consumer.accept(value);
+      }
+    };
+  }
+
   private void next() {
     if (revision < 0) {
       list("");
@@ -255,15 +264,6 @@
     following.run();
   }
 
-  private <T> Consumer<T> ofThisEra(Consumer<T> consumer) {
-    int begun = generation;
-    return value -> {
-      if (generation == begun) {
-        consumer.accept(value);
-      }
-    };
-  }
-
   /** Handles a response and returns what follows it. */
   private interface Handler {
     Runnable handle() throws IOException;
--- a/library/src/main/java/org/bulrushpier/watch/StoreEra.java
+++ b/library/src/main/java/org/bulrushpier/watch/StoreEra.java
@@ -40,7 +40,7 @@
    * @return what the answer shows
    */
   public Observation observe(OptionalLong told) {
-    boolean isFirst = !hasAnswered;
+    final boolean isFirst = !hasAnswered;
     hasAnswered = true;
     if (told.isEmpty() || told.getAsLong() == current) {
       return Observation.KNOWN;
