--- a/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/net/OutboundConnection.java
@@ -216,9 +216,8 @@
       return;
     }
     request.listener().disconnected();
-    // A peer that closes with unread bytes resets the connection, of which a failed write may be
-    // the
-    // only sign, and one that another thread is yet to report.
+    // A peer that closes with unread bytes resets the connection. A failed write may be the only
+    // sign of that, and another thread may be about to report it.
     if (!isReset && !isWritePending()) {
       parser.atEOF();
       parser.parseNext(ByteBuffer.allocate(0));
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/AttemptRequest.java
@@ -1,13 +1,16 @@
 package org.bulrushpier.daemon.serve;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.CallFormat;
 import org.bulrushpier.call.CallerRequest;
 import org.bulrushpier.call.PromptShape;
 import org.bulrushpier.daemon.net.InboundRequest;
+import org.bulrushpier.placing.CachePlan;
 import org.bulrushpier.placing.CachePlanner;
 import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.placing.Placement;
@@ -100,7 +103,8 @@
           CachePlanner.planSaves(prompt.get(), salt, replica, selection.cacheStores(), beganMillis);
       replica.parts().add(salt, prompt.get().parts(), memoryTokens());
     }
-    OptionalLong fetchUntil = fetchUntil();
+    boolean isBounded = isFetchFromManagedStore();
+    OptionalLong fetchUntil = fetchUntil(isBounded);
     return CallFormat.forwardedRequest(
         inbound.fields(),
         new CallFormat.AddedFields(
@@ -111,9 +115,7 @@
             prompt.isPresent() ? selection.priority() : -1,
             salt,
             weightVersion,
-            fetchUntil.isEmpty() && isFetchFromManagedStore()
-                ? List.of()
-                : placement.cache().sources(),
+            isBounded && fetchUntil.isEmpty() ? List.of() : placement.cache().sources(),
             fetchUntil.orElse(-1),
             cacheTargets,
             survival.order(replica, weightVersion),
@@ -125,30 +127,31 @@
   /**
    * Returns the time on the replicas' clock at which fetches end: before the parts may be freed, or
    * earlier if they take too long.
+   *
+   * @param isBounded whether the parts may be freed
    */
-  private OptionalLong fetchUntil() {
-    OptionalLong planned =
-        context
-            .replicaClock()
-            .at(beganMillis + placement.maxFetchMillis(), MonotonicClock.millis());
-    if (planned.isEmpty() || !isFetchFromManagedStore()) {
+  private OptionalLong fetchUntil(boolean isBounded) {
+    long now = MonotonicClock.millis();
+    OptionalLong planned = context.replicaClock().at(beganMillis + placement.maxFetchMillis(), now);
+    if (planned.isEmpty() || !isBounded) {
       return planned;
     }
     OptionalLong allowed =
         context
             .partTerms()
-            .fetchUntil(
-                prompt.map(PromptShape::model).orElse(""), weightVersion, MonotonicClock.millis());
+            .fetchUntil(prompt.map(PromptShape::model).orElse(""), weightVersion, now);
     return allowed.isPresent()
         ? OptionalLong.of(Math.min(planned.getAsLong(), allowed.getAsLong()))
         : OptionalLong.empty();
   }
 
   private boolean isFetchFromManagedStore() {
-    List<String> sources = placement.cache().sources();
-    return selection.cacheStores().stream()
-        .map(CacheStoreState::store)
-        .anyMatch(store -> store.isManaged() && sources.contains(store.address().toString()));
+    Set<String> sources = new HashSet<>(placement.cache().sources());
+    sources.remove(CachePlan.NONE);
+    return !sources.isEmpty()
+        && selection.cacheStores().stream()
+            .map(CacheStoreState::store)
+            .anyMatch(store -> store.isManaged() && sources.contains(store.address().toString()));
   }
 
   private long memoryTokens() {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/CrashReportStore.java
@@ -127,9 +127,7 @@
             CALL_TIMEOUT_MILLIS,
             outcome -> {
               isCalling = false;
-              long era = context.storeEras().era().current();
-              if (!context.storeEras().accepts(outcome)
-                  || era != context.storeEras().era().current()) {
+              if (!context.storeEras().isUnchangedBy(outcome)) {
                 return;
               }
               try {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Exchange.java
@@ -620,7 +620,6 @@
     private boolean isEnded;
     private ColdSpell.Send coldSend = new ColdSpell.Send();
     private boolean isWithheld;
-    private long startedMillis = -1;
 
     Attempt(Replica replica, Placement.Send placement, Optional<Continuation.GoOn> continuation) {
       this.replica = replica;
@@ -838,9 +837,8 @@
       head = read;
       response = CallFormat.upstreamResponse(read.status(), read.fields());
       beginBody(response.isEventStream() ? -1 : read.length());
-      inFlight.markStarted();
       long now = MonotonicClock.millis();
-      startedMillis = now;
+      inFlight.markStarted(now);
       recordPace(now);
       replica.recordActivity(now);
       context.cold().answered(replica, response.coldMillis(), now);
@@ -1193,7 +1191,7 @@
 
     private void responseLost(String detail) {
       attemptEnd = "upstream failed";
-      survival.brokeOff(replica, startedMillis, inFlight.sentMillis(), Exchange.this::runEnded);
+      survival.brokeOff(replica, inFlight, Exchange.this::runEnded);
       replicaLost();
       if (!hasForwardedEvents && continuation.isPresent()) {
         context.metrics().continuation("failed");
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/GatewayContext.java
@@ -68,6 +68,7 @@
   private final ConnectionPool upstreamPool;
   private final ConnectionPool controlPool;
   private final ControlClient client;
+  private final EngineReports reports;
   private final ReplicaInquiries inquiries;
   private final CopyPlacement copyPlacement;
   private final Map<String, CacheStoreState> cacheStores = new LinkedHashMap<>();
@@ -96,6 +97,7 @@
     upstreamPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     controlPool = ConnectionPool.of(loop, MAX_IDLE_MILLIS);
     client = new ControlClient(loop, controlPool);
+    reports = new EngineReports(client, log);
     inquiries = new ReplicaInquiries(loop, controlPool);
     copyPlacement = CopyPlacement.of(peerLoads, loadGroup, ThreadLocalRandom.current());
   }
@@ -228,6 +230,11 @@
     return client;
   }
 
+  /** Returns what asks engines for their state. */
+  EngineReports reports() {
+    return reports;
+  }
+
   /** Returns what engines were asked to find out whether they are alive. */
   ReplicaInquiries inquiries() {
     return inquiries;
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RolloutCoordinator.java
@@ -19,6 +19,7 @@
 import org.bulrushpier.adapter.StoreFormat.ReadableObject;
 import org.bulrushpier.adapter.StoreFormat.StoreObject;
 import org.bulrushpier.adapter.StoreFormat.UnreadableObject;
+import org.bulrushpier.daemon.serve.EngineReports.Answer.Told;
 import org.bulrushpier.placing.CacheStoreState;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.rollout.EngineChange;
@@ -177,37 +178,25 @@
   private void verify(Replica replica) {
     replica.pause(MonotonicClock.millis() + VERIFY_PAUSE_MILLIS);
     context
-        .client()
-        .call(
-            replica.entry().address(),
-            "GET",
-            EngineFormat.REPORT,
-            new byte[0],
-            CALL_TIMEOUT_MILLIS,
-            outcome -> verificationReceived(replica, outcome));
+        .reports()
+        .ask(replica, CALL_TIMEOUT_MILLIS, answer -> verificationReceived(replica, answer));
   }
 
-  private void verificationReceived(Replica replica, ControlClient.Outcome outcome) {
-    if (!outcome.isOk()) {
+  private void verificationReceived(Replica replica, EngineReports.Answer answer) {
+    if (!(answer instanceof Told told)) {
       return;
     }
-    try {
-      EngineFormat.report(outcome.body())
-          .weightVersions()
-          .forEach(
-              (model, version) -> {
-                if (version != replica.version(model)) {
-                  replica.recordVersion(model, version);
-                  context
-                      .log()
-                      .event("weights-seen", "replica", replica.entry().id(), "version", version);
-                }
-              });
-    } catch (IOException e) {
-      context
-          .log()
-          .event("report-unreadable", "replica", replica.entry().id(), "detail", e.getMessage());
-    }
+    told.report()
+        .weightVersions()
+        .forEach(
+            (model, version) -> {
+              if (version != replica.version(model)) {
+                replica.recordVersion(model, version);
+                context
+                    .log()
+                    .event("weights-seen", "replica", replica.entry().id(), "version", version);
+              }
+            });
   }
 
   /** Frees cache parts of older weights, which no call can fetch any more, in managed stores. */
@@ -461,8 +450,7 @@
 
     private void leaseWritten(LeaseRecord record, ControlClient.Outcome outcome) {
       isWriting = false;
-      long era = context.storeEras().era().current();
-      if (!context.storeEras().accepts(outcome) || era != context.storeEras().era().current()) {
+      if (!context.storeEras().isUnchangedBy(outcome)) {
         // The lease is taken anew once what the store has now was read.
         nextWriteMillis = MonotonicClock.millis() + WRITE_PAUSE_MILLIS;
         return;
@@ -587,40 +575,31 @@
     private void requestReport(Replica engine, EngineChange change, int version) {
       change.reportRequested();
       context
-          .client()
-          .call(
-              engine.entry().address(),
-              "GET",
-              EngineFormat.REPORT,
-              new byte[0],
+          .reports()
+          .ask(
+              engine,
               CALL_TIMEOUT_MILLIS,
-              outcome -> reportReceived(engine, change, version, outcome));
+              answer -> reportReceived(engine, change, version, answer));
     }
 
     private void reportReceived(
-        Replica engine, EngineChange change, int version, ControlClient.Outcome outcome) {
-      change.callEnded(MonotonicClock.millis());
-      if (!outcome.isOk()) {
+        Replica engine, EngineChange change, int version, EngineReports.Answer answer) {
+      long now = MonotonicClock.millis();
+      change.callEnded(now);
+      if (!(answer instanceof Told told)) {
         return;
       }
-      try {
-        EngineFormat.Report report = EngineFormat.report(outcome.body());
-        long now = MonotonicClock.millis();
-        update(engine, change, () -> change.reported(report.isChanging(), now));
-        int servedVersion = report.weightVersions().getOrDefault(model, 0);
-        if (servedVersion >= version && !report.isChanging()) {
-          finished(engine, servedVersion);
-        } else if (!report.isChanging()
-            && changing.get(engine.entry().id()) == change
-            && change.isOrderDue(report.running(), report.waiting(), now)
-            && (change.isActive() || hasRoom())
-            && lease.mayOrder(Moment.now())) {
-          sendOrder(engine, change, version, report.acceptedOrders());
-        }
-      } catch (IOException e) {
-        context
-            .log()
-            .event("report-unreadable", "replica", engine.entry().id(), "detail", e.getMessage());
+      EngineFormat.Report report = told.report();
+      update(engine, change, () -> change.reported(report.isChanging(), now));
+      int servedVersion = report.weightVersions().getOrDefault(model, 0);
+      if (servedVersion >= version && !report.isChanging()) {
+        finished(engine, servedVersion);
+      } else if (!report.isChanging()
+          && changing.get(engine.entry().id()) == change
+          && change.isOrderDue(report.running(), report.waiting(), now)
+          && (change.isActive() || hasRoom())
+          && lease.mayOrder(Moment.now())) {
+        sendOrder(engine, change, version, report.acceptedOrders());
       }
     }
 
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/RunInquiry.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/RunInquiry.java
@@ -1,8 +1,8 @@
 package org.bulrushpier.daemon.serve;
 
-import java.io.IOException;
 import org.bulrushpier.MonotonicClock;
 import org.bulrushpier.adapter.EngineFormat;
+import org.bulrushpier.daemon.serve.EngineReports.Answer;
 import org.bulrushpier.replica.Replica;
 import org.bulrushpier.survival.RunEnd;
 
@@ -76,26 +76,22 @@
       return;
     }
     askedMillis = MonotonicClock.millis();
-    context
-        .client()
-        .call(
-            replica.entry().address(),
-            "GET",
-            EngineFormat.REPORT,
-            new byte[0],
-            TIMEOUT_MILLIS,
-            this::answered);
+    context.reports().ask(replica, TIMEOUT_MILLIS, this::answered);
   }
 
-  private void answered(ControlClient.Outcome outcome) {
+  private void answered(Answer answer) {
     if (isStopped) {
       return;
     }
-    if (outcome.isOk()) {
-      reported(outcome.body());
-    } else if (outcome.isRefused() && replica.ownRequests() == 0) {
-      // A full replica refuses connections, too, but then it works on what it has.
-      end.replicaGone();
+    switch (answer) {
+      case Answer.Told told -> reported(told.report());
+      case Answer.Refused refused -> {
+        // A full replica refuses connections, too, but then it works on what it has.
+        if (replica.ownRequests() == 0) {
+          end.replicaGone();
+        }
+      }
+      case Answer.Nothing nothing -> {}
     }
     if (end.isEnded()) {
       listener.run();
@@ -104,21 +100,14 @@
     }
   }
 
-  private void reported(byte[] body) {
-    try {
-      EngineFormat.Report report = EngineFormat.report(body);
-      if (report.bornMillis() > 0
-          && replica.entry().startMillis() > 0
-          && report.bornMillis() != replica.entry().startMillis()) {
-        end.replicaGone();
-      } else {
-        replica.recordActivity(MonotonicClock.millis());
-        end.reported(report.runs(), report.running(), report.waiting(), askedMillis);
-      }
-    } catch (IOException e) {
-      context
-          .log()
-          .event("report-unreadable", "replica", replica.entry().id(), "detail", e.getMessage());
+  private void reported(EngineFormat.Report report) {
+    if (report.bornMillis() > 0
+        && replica.entry().startMillis() > 0
+        && report.bornMillis() != replica.entry().startMillis()) {
+      end.replicaGone();
+    } else {
+      replica.recordActivity(MonotonicClock.millis());
+      end.reported(report.runs(), report.running(), report.waiting(), askedMillis);
     }
   }
 }
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/SettingsFile.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/SettingsFile.java
@@ -67,7 +67,7 @@
   /**
    * Reads the file again.
    *
-   * @return the new settings, or null if the text is unchanged, or unreadable or unusable
+   * @return the new settings, or null if the text is unchanged, unreadable or unusable
    */
   public GatewaySettings reread() {
     try {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreEras.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/StoreEras.java
@@ -41,8 +41,9 @@
   }
 
   /**
-   * Checks whether an answer is of the known era. If it begins a new one, the listeners are called
-   * first, so that nothing of before is compared with it.
+   * Checks whether an answer of the store, or of an instance that reads it, is of the known era. If
+   * it begins a new one, the listeners are called first, so that nothing of before is compared with
+   * it.
    *
    * @return false if the answer is of an older era and must not be used
    */
@@ -50,13 +51,8 @@
     if (outcome.status() <= ControlClient.NO_RESPONSE) {
       return true;
     }
-    return accepts(outcome.fields());
-  }
-
-  /** Checks the answer of the store, or of an instance that reads it, by its header fields. */
-  boolean accepts(HttpFields fields) {
     long before = era.current();
-    return switch (era.observe(told(fields))) {
+    return switch (era.observe(told(outcome.fields()))) {
       case KNOWN -> true;
       case OLDER -> {
         logBad("store-era-older", "known", before);
@@ -71,6 +67,15 @@
     };
   }
 
+  /**
+   * Checks whether an answer is of the era that was known before it, so that it fits what its call
+   * was made for.
+   */
+  boolean isUnchangedBy(ControlClient.Outcome outcome) {
+    long before = era.current();
+    return accepts(outcome) && era.current() == before;
+  }
+
   private OptionalLong told(HttpFields fields) {
     OptionalLong told = StoreFormat.era(fields);
     if (told.isEmpty() && StoreFormat.hasEra(fields)) {
--- a/daemon/src/main/java/org/bulrushpier/daemon/serve/Survival.java
+++ b/daemon/src/main/java/org/bulrushpier/daemon/serve/Survival.java
@@ -122,15 +122,14 @@
    * Records that the answer of a run broke off, at which its replica may still work.
    *
    * @param run the replica
-   * @param begunMillis a monotonic time at which it had begun, in milliseconds, or -1
-   * @param sentMillis the monotonic time at which the request was sent, in milliseconds
+   * @param inFlight the request at the replica
    * @param listener is told when the run has ended
    */
-  void brokeOff(Replica run, long begunMillis, long sentMillis, Runnable listener) {
+  void brokeOff(Replica run, Replica.InFlightRequest inFlight, Runnable listener) {
     RunEnd end =
-        begunMillis >= 0
-            ? RunEnd.ofRun(request.id(), begunMillis)
-            : RunEnd.ofRequest(request.id(), sentMillis);
+        inFlight.isStarted()
+            ? RunEnd.ofRun(request.id(), inFlight.startedMillis())
+            : RunEnd.ofRequest(request.id(), inFlight.sentMillis());
     if (inquiry != null) {
       inquiry.stop();
     }
--- a/daemon/src/test/java/org/bulrushpier/daemon/ProcessSignalsTest.java
+++ b/daemon/src/test/java/org/bulrushpier/daemon/ProcessSignalsTest.java
@@ -42,20 +42,7 @@
 
   @Test
   void reloadDuringTheStartIsPassedOn() throws Exception {
-    CountDownLatch isStarting = new CountDownLatch(1);
-    Thread reload =
-        Thread.ofVirtual()
-            .start(
-                () -> {
-                  awaitUninterruptibly(isStarting);
-                  signals.reload();
-                });
-    signals.start(
-        () -> {
-          isStarting.countDown();
-          return started();
-        });
-    reload.join();
+    startWhile(signals::reload);
 
     assertThat(calls).containsExactly("start", "reload");
   }
@@ -71,20 +58,7 @@
 
   @Test
   void serverThatIsStartingIsShutDown() throws Exception {
-    CountDownLatch isStarting = new CountDownLatch(1);
-    Thread termination =
-        Thread.ofVirtual()
-            .start(
-                () -> {
-                  awaitUninterruptibly(isStarting);
-                  signals.terminate();
-                });
-    signals.start(
-        () -> {
-          isStarting.countDown();
-          return started();
-        });
-    termination.join();
+    startWhile(signals::terminate);
 
     assertThat(calls).containsExactly("start", "terminate");
   }
@@ -104,6 +78,24 @@
     assertThat(calls).isEmpty();
   }
 
+  /** Starts the server; the signal comes once that has begun. */
+  private void startWhile(Runnable signal) throws Exception {
+    CountDownLatch isStarting = new CountDownLatch(1);
+    Thread sender =
+        Thread.ofVirtual()
+            .start(
+                () -> {
+                  awaitUninterruptibly(isStarting);
+                  signal.run();
+                });
+    signals.start(
+        () -> {
+          isStarting.countDown();
+          return started();
+        });
+    sender.join();
+  }
+
   private static void awaitUninterruptibly(CountDownLatch latch) {
     try {
       latch.await();
--- a/library/src/main/java/org/bulrushpier/replica/Replica.java
+++ b/library/src/main/java/org/bulrushpier/replica/Replica.java
@@ -60,13 +60,15 @@
    * <p>Not thread-safe.
    */
   public static final class InFlightRequest {
+    private static final long NOT_STARTED = Long.MIN_VALUE;
+
     private final int priority;
     private final int uncachedTokens;
     private final int totalTokens;
     private final double transferMillis;
     private final long sentMillis;
     private final long overdueMillis;
-    private boolean isStarted;
+    private long startedMillis = NOT_STARTED;
 
     /**
      * Creates the record of a request that is being sent.
@@ -113,14 +115,23 @@
       return nowMillis > overdueMillis;
     }
 
-    /** Records that the response has started. */
-    public void markStarted() {
-      isStarted = true;
+    /**
+     * Records that the response has started.
+     *
+     * @param nowMillis the current monotonic time, in milliseconds
+     */
+    public void markStarted(long nowMillis) {
+      startedMillis = nowMillis;
+    }
+
+    /** Returns the monotonic time at which the response started, if it has, in milliseconds. */
+    public long startedMillis() {
+      return startedMillis;
     }
 
     /** Returns true once the response has started. */
     public boolean isStarted() {
-      return isStarted;
+      return startedMillis != NOT_STARTED;
     }
   }
 
@@ -429,7 +440,7 @@
   public int overdueRequests(long nowMillis) {
     int count = 0;
     for (InFlightRequest request : inFlight.values()) {
-      if (!request.isStarted && request.isOverdue(nowMillis)) {
+      if (!request.isStarted() && request.isOverdue(nowMillis)) {
         count++;
       }
     }
@@ -451,7 +462,7 @@
   public long pendingPrefillTokens(int priority) {
     long tokens = 0;
     for (InFlightRequest request : inFlight.values()) {
-      if (!request.isStarted && request.priority <= priority) {
+      if (!request.isStarted() && request.priority <= priority) {
         tokens += request.uncachedTokens;
       }
     }
@@ -465,7 +476,7 @@
   public double transferMillis() {
     double millis = 0;
     for (InFlightRequest request : inFlight.values()) {
-      if (!request.isStarted) {
+      if (!request.isStarted()) {
         millis += request.transferMillis;
       }
     }
@@ -509,7 +520,7 @@
   public UpstreamLoad ownLoad() {
     List<Long> pendingTokens = new ArrayList<>();
     for (InFlightRequest request : inFlight.values()) {
-      if (!request.isStarted && request.uncachedTokens > 0) {
+      if (!request.isStarted() && request.uncachedTokens > 0) {
         while (pendingTokens.size() <= request.priority) {
           pendingTokens.add(0L);
         }
--- a/library/src/test/java/org/bulrushpier/placing/FleetSimulation.java
+++ b/library/src/test/java/org/bulrushpier/placing/FleetSimulation.java
@@ -212,7 +212,7 @@
               call.prompt.maxOutputTokens(),
               () -> {
                 call.firstTokenMillis = now + wayMillis;
-                request.markStarted();
+                request.markStarted(now);
                 replica.recordActivity(now);
                 replica.recordLoad(
                     new ReportedLoad(
--- a/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
+++ b/library/src/test/java/org/bulrushpier/placing/OverloadTest.java
@@ -170,7 +170,7 @@
               call.prompt.maxOutputTokens(),
               () -> {
                 call.firstTokenMillis = now;
-                request.markStarted();
+                request.markStarted(now);
                 replica.recordActivity(now);
                 replica.recordLoad(
                     new ReportedLoad(engine.runningRequests(), engine.waitingRequests(), SLOTS),
--- a/library/src/test/java/org/bulrushpier/poison/CrashDetectorTest.java
+++ b/library/src/test/java/org/bulrushpier/poison/CrashDetectorTest.java
@@ -50,7 +50,7 @@
   @Test
   void replicaWhoseOtherConnectionsLastGetsMoreTimeToAnswer() {
     Replica.InFlightRequest other = new Replica.InFlightRequest(0, 0, 0, 0, NOW - 100, NOW);
-    other.markStarted();
+    other.markStarted(NOW);
     engine.begin("other", other);
     detector.answerBrokeOff(engine, List.of("a"), NOW);
 
